--- /dev/null
+++ b/traystall/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""The declared configuration: schema, checks, revisions and deltas."""
--- /dev/null
+++ b/traystall/catalog/state.py
@@ -0,0 +1,106 @@
+"""The catalog: a pure state machine of accepted revisions.
+
+For one number exactly one content is ever accepted. The same number with the
+same content gets the same answer for ever and changes nothing, whatever has
+been accepted since.
+"""
+
+import msgspec
+
+from traystall.catalog.deltas import EMPTY_DIGEST, Delta, apply_delta, entities_digest
+from traystall.catalog.models import ApplyBundle, ApplyOutcome, ApplyResult, Revision
+from traystall.core.serialization import pack, unpack
+
+# Deltas kept in memory for gateways that are a little behind.
+KEPT_DELTAS = 64
+
+
+class CatalogSnapshot(msgspec.Struct, frozen=True):
+    """Hold the whole catalog for a snapshot."""
+
+    entities: dict[str, bytes]
+    history: list[Revision]
+
+
+class Catalog:
+    """Apply bundles in log order and answer what is newest."""
+
+    def __init__(self):
+        self.entities: dict[str, bytes] = {}
+        self.digest = EMPTY_DIGEST
+        self.number = 0
+        self._history: dict[int, Revision] = {}
+        self._deltas: dict[bytes, Delta] = {}
+
+    def lookup(self, number: int, digest: bytes) -> ApplyResult | None:
+        """Return the answer to an apply that is already decided, or None."""
+        holder = self._history.get(number)
+        if holder is not None:
+            outcome = ApplyOutcome.CONFLICT
+            if holder.digest == digest:
+                outcome = ApplyOutcome.ACCEPTED
+            return ApplyResult(outcome, holder, self.number, resent=True)
+        if number <= self.number:
+            return ApplyResult(ApplyOutcome.STALE, self._history[self.number], self.number)
+        return None
+
+    def apply(self, command: ApplyBundle) -> ApplyResult:
+        """Decide one apply; every replica decides alike."""
+        decided = self.lookup(command.number, command.digest)
+        if decided is not None:
+            return decided
+        if command.delta.base != self.digest:
+            return ApplyResult(ApplyOutcome.REBASE, None, self.number)
+        self.entities = apply_delta(self.entities, self.digest, command.delta)
+        self._remember(command.delta)
+        self.digest = command.delta.result
+        self.number = command.number
+        revision = Revision(command.number, command.digest, command.operator)
+        self._history[command.number] = revision
+        return ApplyResult(ApplyOutcome.ACCEPTED, revision, self.number)
+
+    def delta_since(self, digest: bytes) -> Delta | None:
+        """Return one delta from the revision `digest` to the newest, or None if not kept."""
+        if digest == self.digest:
+            return Delta(digest, digest, {}, [])
+        puts: dict[str, bytes] = {}
+        deletes: set[str] = set()
+        at = digest
+        for _ in range(len(self._deltas) + 1):
+            delta = self._deltas.get(at)
+            if delta is None:
+                return None
+            _merge(puts, deletes, delta)
+            at = delta.result
+            if at == self.digest:
+                return Delta(digest, at, puts, sorted(deletes))
+        return None
+
+    def snapshot(self) -> bytes:
+        """Return the encoded state."""
+        return pack(CatalogSnapshot(self.entities, list(self._history.values())))
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by an encoded one."""
+        held = unpack(data, CatalogSnapshot)
+        self.entities = held.entities
+        self.digest = entities_digest(held.entities)
+        self._history = {revision.number: revision for revision in held.history}
+        self.number = max(self._history, default=0)
+        self._deltas = {}
+
+    def _remember(self, delta):
+        if delta.base == delta.result:
+            return
+        self._deltas[delta.base] = delta
+        while len(self._deltas) > KEPT_DELTAS:
+            del self._deltas[next(iter(self._deltas))]
+
+
+def _merge(puts, deletes, delta):
+    for key in delta.deletes:
+        puts.pop(key, None)
+        deletes.add(key)
+    for key, value in delta.puts.items():
+        puts[key] = value
+        deletes.discard(key)
--- /dev/null
+++ b/traystall/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line client."""
--- /dev/null
+++ b/traystall/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the daemons, read from flags and environment variables."""
--- /dev/null
+++ b/traystall/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Pure replicated-log core: election, replication, snapshots, membership, leases."""
--- /dev/null
+++ b/traystall/consensus/quorum.py
@@ -0,0 +1,26 @@
+"""Majority arithmetic over the voters of a group."""
+
+
+def majority(count: int) -> int:
+    """Return how many of `count` voters make a majority."""
+    return count // 2 + 1
+
+
+def reached_by_majority(values) -> float:
+    """Return the highest value that a majority of `values` has reached; 0 for none."""
+    ordered = sorted(values, reverse=True)
+    if not ordered:
+        return 0
+    return ordered[majority(len(ordered)) - 1]
+
+
+def is_majority(granted, voters) -> bool:
+    """Return whether the identities in `granted` hold a majority of `voters`."""
+    return len(set(granted) & set(voters)) >= majority(len(voters))
+
+
+def is_single_step(old, new) -> bool:
+    """Return whether the voters of two member sets differ by one replica at most."""
+    old_voters = {member.identity for member in old if member.voter}
+    new_voters = {member.identity for member in new if member.voter}
+    return len(old_voters ^ new_voters) <= 1 and bool(new_voters)
--- /dev/null
+++ b/traystall/consensus/replica.py
@@ -0,0 +1,701 @@
+"""One replica of the log, as a pure state machine of Raft's family.
+
+Messages, ticks and proposals go in; `take_ready` hands out what to send, write
+and apply. The replica does no I/O and reads no clock: `now` is monotonic
+seconds and `random` is passed in, so a test drives the code that the daemon
+drives.
+
+Two rules go beyond the textbook. A replica grants no vote in the first
+election time-out after its start, because it may have promised a leader
+silence before it died: without that the lease would not hold. And every
+message names the identity it is meant for, so that a wiped disk, which has a
+new identity, can never answer for the old one.
+"""
+
+from traystall.consensus.log import ReplicaLog
+from traystall.consensus.models import (
+    AppendLog,
+    EntryKind,
+    HardState,
+    Ready,
+    Role,
+    SaveHardState,
+    SaveSnapshot,
+    Snapshot,
+    Timing,
+    TruncateLog,
+    decode_members,
+    encode_members,
+)
+from traystall.consensus.progress import Progress
+from traystall.consensus.quorum import is_majority, is_single_step, reached_by_majority
+from traystall.core.exceptions import ChangeInProgress, ConsensusError, NotLeader
+from traystall.rpc.gen.wire.ttypes import (
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    SnapshotChunk,
+    SnapshotReply,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
+)
+
+MAX_APPEND_ENTRIES = 512
+MAX_APPEND_BYTES = 1024 * 1024
+SNAPSHOT_CHUNK_BYTES = 256 * 1024
+# A learner this close to the commit index counts as caught up.
+CAUGHT_UP_ENTRIES = 64
+_MAX_ROUNDS_KEPT = 64
+
+
+class Replica:
+    """Take part in one group under one identity."""
+
+    def __init__(
+        self,
+        identity: str,
+        group: str,
+        timing: Timing,
+        random,
+        now: float,
+        hard_state: HardState | None = None,
+        log: ReplicaLog | None = None,
+    ):
+        self.identity = identity
+        self.group = group
+        self.timing = timing
+        self.hard_state = hard_state or HardState()
+        self.log = log or ReplicaLog()
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self.commit_index = self.log.snapshot_index
+        self.applied_index = self.log.snapshot_index
+        self.progress: dict[str, Progress] = {}
+        self._random = random
+        self._ready = Ready()
+        self._votes: set[str] = set()
+        self._synced_index = self.log.last_index
+        self._heard_from_leader = float("-inf")
+        self._may_vote_after = now + timing.election_min
+        self._election_due = 0.0
+        self._heartbeat_due = 0.0
+        self._round = 0
+        self._round_started: dict[int, float] = {}
+        self._handover_to = ""
+        self._handover_deadline = 0.0
+        self._term_start_index = 0
+        self._incoming: tuple[int, bytearray] | None = None
+        self._reset_election_timer(now)
+
+    # ---- questions ----
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self.hard_state.term
+
+    @property
+    def members(self):
+        """Return the newest members in the log."""
+        return self.log.members
+
+    @property
+    def voters(self) -> set[str]:
+        """Return the identities that vote."""
+        return {member.identity for member in self.members if member.voter}
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this replica leads its term."""
+        return self.role is Role.LEADER
+
+    def lease_until(self) -> float:
+        """Return when the leader's lease ends, in monotonic seconds; minus infinity for none."""
+        if not self.is_leader or self._handover_to:
+            return float("-inf")
+        return self._majority_heard_at() + self.timing.lease
+
+    def holds_lease(self, now: float) -> bool:
+        """Return whether no other replica can lead at `now`, and this one's state is whole."""
+        committed_own = self.commit_index >= self._term_start_index
+        return committed_own and now < self.lease_until()
+
+    def caught_up(self, identity: str) -> bool:
+        """Return whether a peer holds the log up to nearly the commit index."""
+        progress = self.progress.get(identity)
+        if progress is None:
+            return identity == self.identity and self.is_leader
+        return progress.match_index >= self.commit_index - CAUGHT_UP_ENTRIES
+
+    def take_ready(self) -> Ready:
+        """Return and clear the outputs.
+
+        The driver sends `messages` at once, makes `writes` durable, sends
+        `messages_after_sync`, reports `synced`, and in any order to that
+        restores `restore` and applies `committed`.
+        """
+        ready = self._ready
+        self._ready = Ready()
+        if self.commit_index > self.applied_index:
+            ready.committed = self.log.between(self.applied_index + 1, self.commit_index)
+            self.applied_index = self.commit_index
+        return ready
+
+    # ---- inputs ----
+
+    def tick(self, now: float) -> None:
+        """Act on whatever time has brought due."""
+        if self.is_leader:
+            self._tick_leader(now)
+        elif now >= self._election_due and self.identity in self.voters:
+            self._start_pre_vote(now)
+
+    def receive(self, message, now: float) -> None:
+        """Handle one message from a peer; ignore it if it is meant for another identity."""
+        if message.group != self.group or message.to != self.identity:
+            return
+        if isinstance(message, VoteRequest):
+            self._on_vote_request(message, now)
+            return
+        if isinstance(message, VoteReply) and message.pre_vote and message.granted:
+            self._on_pre_vote_granted(message, now)
+            return
+        if message.term > self.term:
+            self._become_follower(message.term, "", now)
+        self._dispatch(message, now)
+
+    def propose(self, commands: list[bytes], now: float) -> list[int]:
+        """Append commands and return their indexes; raise NotLeader elsewhere.
+
+        Commands proposed together travel in one message to each peer.
+        """
+        self._require_leader()
+        first = self.log.last_index + 1
+        self._append([(EntryKind.COMMAND, command) for command in commands], now)
+        return list(range(first, first + len(commands)))
+
+    def propose_members(self, members, now: float) -> int:
+        """Append a change of members that differs by one voter at most; return its index."""
+        self._require_leader()
+        if self.log.members_index > self.commit_index:
+            raise ChangeInProgress("Another change of members is not yet committed.")
+        if self.commit_index < self._term_start_index:
+            raise ChangeInProgress("This leader has not yet committed an entry of its term.")
+        if not is_single_step(self.members, members):
+            raise ConsensusError("A change of members may add or remove one voter only.")
+        self._append([(EntryKind.MEMBERS, encode_members(members))], now)
+        self._sync_progress()
+        return self.log.last_index
+
+    def found_group(self, members, now: float) -> None:
+        """Write the first entry of a new group; only for a replica with an empty log."""
+        if self.log.last_index or self.term:
+            raise ConsensusError("Only a replica with no state can found a group.")
+        self._set_hard_state(HardState(term=1))
+        entry = LogEntry(index=1, term=1, kind=EntryKind.MEMBERS, command=encode_members(members))
+        self._append_entries([entry])
+        self._election_due = now
+
+    def hand_over(self, identity: str, now: float) -> None:
+        """Give up the lease and let `identity` stand for election as soon as it is caught up."""
+        self._require_leader()
+        if identity == self.identity or identity not in self.voters:
+            raise ConsensusError(f"'{identity}' is not another voter of this group.")
+        self._handover_to = identity
+        self._handover_deadline = now + self.timing.election_max
+        self._continue_handover()
+
+    def synced(self, term: int, index: int) -> None:
+        """Record that the entry (term, index) and all before it are durable here."""
+        if self.log.term_at(index) != term:
+            return
+        self._synced_index = max(self._synced_index, index)
+        if self.is_leader:
+            self._advance_commit()
+
+    def compact(self, index: int, data: bytes) -> None:
+        """Replace the applied log up to `index` by a snapshot of the state machine."""
+        if index <= self.log.snapshot_index or index > self.applied_index:
+            return
+        snapshot = Snapshot(
+            index=index,
+            term=self.log.term_at(index),
+            members=self.log.members_at(index),
+            data=data,
+        )
+        self.log.compact(snapshot)
+        self._ready.writes.append(SaveSnapshot(snapshot, keep_entries=True))
+
+    # ---- roles ----
+
+    def _become_follower(self, term, leader, now):
+        if term > self.term:
+            self._set_hard_state(HardState(term=term))
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self.progress = {}
+        self._handover_to = ""
+        self._reset_election_timer(now)
+
+    def _start_pre_vote(self, now):
+        self.role = Role.PRE_CANDIDATE
+        self.leader = ""
+        self._votes = {self.identity}
+        self._reset_election_timer(now)
+        if is_majority(self._votes, self.voters):
+            self._start_election(now, handover=False)
+            return
+        self._ready.messages += self._vote_requests(self.term + 1, pre_vote=True, handover=False)
+
+    def _start_election(self, now, handover):
+        self.role = Role.CANDIDATE
+        self.leader = ""
+        self._set_hard_state(HardState(term=self.term + 1, vote=self.identity))
+        self._votes = set()
+        self._reset_election_timer(now)
+        requests = self._vote_requests(self.term, pre_vote=False, handover=handover)
+        # The own vote also comes as a message, so that it counts only once it is synced.
+        own_vote = VoteReply(
+            group=self.group,
+            to=self.identity,
+            sender=self.identity,
+            term=self.term,
+            granted=True,
+            pre_vote=False,
+        )
+        self._ready.messages_after_sync += [*requests, own_vote]
+
+    def _become_leader(self, now):
+        self.role = Role.LEADER
+        self.leader = self.identity
+        self._handover_to = ""
+        self._round = 0
+        self._round_started = {}
+        self.progress = {}
+        self._sync_progress()
+        self._term_start_index = self.log.last_index + 1
+        self._elected_at = now
+        self._start_round(now)
+        self._append([(EntryKind.NOOP, b"")], now)
+
+    def _tick_leader(self, now):
+        if now > self._quorum_contact() + self.timing.election_max:
+            self._become_follower(self.term, "", now)
+            return
+        if self._handover_to and now > self._handover_deadline:
+            # The named replica may yet win: this one must not act as leader in doubt.
+            self._become_follower(self.term, "", now)
+            return
+        if now >= self._heartbeat_due:
+            self._start_round(now)
+            for peer in self.progress:
+                self._send_append(peer, now, heartbeat=True)
+
+    def _quorum_contact(self):
+        return max(self._majority_heard_at(), self._elected_at)
+
+    def _majority_heard_at(self):
+        heard = [
+            float("inf") if voter == self.identity else self._heard_at(voter)
+            for voter in self.voters
+        ]
+        reached = reached_by_majority(heard)
+        if reached == float("inf"):
+            return self._round_started.get(self._round, float("-inf"))
+        return reached
+
+    def _heard_at(self, voter):
+        progress = self.progress.get(voter)
+        return progress.acked_round_at if progress else float("-inf")
+
+    def _start_round(self, now):
+        self._round += 1
+        self._round_started[self._round] = now
+        self._round_started.pop(self._round - _MAX_ROUNDS_KEPT, None)
+        self._heartbeat_due = now + self.timing.heartbeat
+
+    def _continue_handover(self):
+        progress = self.progress.get(self._handover_to)
+        if progress is not None and progress.match_index == self.log.last_index:
+            self._ready.messages.append(
+                TimeoutNow(
+                    group=self.group, to=self._handover_to, sender=self.identity, term=self.term
+                )
+            )
+
+    # ---- votes ----
+
+    def _vote_requests(self, term, pre_vote, handover):
+        return [
+            VoteRequest(
+                group=self.group,
+                to=voter,
+                sender=self.identity,
+                term=term,
+                last_index=self.log.last_index,
+                last_term=self.log.last_term,
+                pre_vote=pre_vote,
+                handover=handover,
+            )
+            for voter in sorted(self.voters)
+            if voter != self.identity
+        ]
+
+    def _on_vote_request(self, request, now):
+        if not self._may_answer_vote(request, now):
+            return
+        if request.term > self.term and not request.pre_vote:
+            self._become_follower(request.term, "", now)
+        granted = self._grants(request)
+        if granted and not request.pre_vote:
+            self._set_hard_state(HardState(term=self.term, vote=request.sender))
+            self._reset_election_timer(now)
+        term = request.term if granted and request.pre_vote else self.term
+        reply = VoteReply(
+            group=self.group,
+            to=request.sender,
+            sender=self.identity,
+            term=term,
+            granted=granted,
+            pre_vote=request.pre_vote,
+        )
+        self._ready.messages_after_sync.append(reply)
+
+    def _may_answer_vote(self, request, now):
+        """Stay silent while a leader may hold a lease that counts on this replica."""
+        if now < self._may_vote_after and not self._is_new():
+            return False
+        if request.handover:
+            return True
+        if self.is_leader and not request.term <= self.term:
+            return now > self._quorum_contact() + self.timing.election_min
+        return now >= self._heard_from_leader + self.timing.election_min
+
+    def _is_new(self):
+        return self.term == 0 and self.log.last_index == 0
+
+    def _grants(self, request):
+        if request.term < self.term:
+            return False
+        up_to_date = (request.last_term, request.last_index) >= (
+            self.log.last_term,
+            self.log.last_index,
+        )
+        if request.pre_vote:
+            return up_to_date and request.term > self.term
+        free = self.hard_state.vote in ("", request.sender)
+        return up_to_date and free and self.role is Role.FOLLOWER
+
+    def _on_pre_vote_granted(self, reply, now):
+        if self.role is not Role.PRE_CANDIDATE or reply.term != self.term + 1:
+            return
+        self._votes.add(reply.sender)
+        if is_majority(self._votes, self.voters):
+            self._start_election(now, handover=False)
+
+    def _on_vote_reply(self, reply, now):
+        if self.role is not Role.CANDIDATE or reply.term != self.term or reply.pre_vote:
+            return
+        if reply.granted:
+            self._votes.add(reply.sender)
+        if is_majority(self._votes, self.voters):
+            self._become_leader(now)
+
+    def _on_timeout_now(self, message, now):
+        if message.term == self.term and self.identity in self.voters and not self.is_leader:
+            self._start_election(now, handover=True)
+
+    # ---- replication ----
+
+    def _dispatch(self, message, now):
+        handlers = {
+            VoteReply: self._on_vote_reply,
+            AppendRequest: self._on_append_request,
+            AppendReply: self._on_append_reply,
+            SnapshotChunk: self._on_snapshot_chunk,
+            SnapshotReply: self._on_snapshot_reply,
+            TimeoutNow: self._on_timeout_now,
+        }
+        handlers[type(message)](message, now)
+
+    def _append(self, items, now):
+        first = self.log.last_index + 1
+        entries = [
+            LogEntry(index=first + offset, term=self.term, kind=int(kind), command=command)
+            for offset, (kind, command) in enumerate(items)
+        ]
+        self._append_entries(entries)
+        for peer in self.progress:
+            self._send_append(peer, now)
+
+    def _append_entries(self, entries):
+        for entry in entries:
+            self.log.append(entry)
+        writes = self._ready.writes
+        if writes and isinstance(writes[-1], AppendLog):
+            writes[-1].entries.extend(entries)
+        else:
+            writes.append(AppendLog(list(entries)))
+
+    def _sync_progress(self):
+        """Keep one progress record for each other member, learners included."""
+        others = {member.identity for member in self.members} - {self.identity}
+        for identity in others - set(self.progress):
+            self.progress[identity] = Progress(next_index=self.log.last_index + 1)
+        for identity in set(self.progress) - others:
+            del self.progress[identity]
+
+    def _send_append(self, peer, now, heartbeat=False):
+        progress = self.progress[peer]
+        if progress.next_index <= self.log.snapshot_index:
+            self._send_snapshot(peer, now)
+            return
+        entries = []
+        if progress.may_send():
+            entries = self.log.slice(progress.next_index, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES)
+        if not entries and not heartbeat:
+            return
+        prev_index = progress.next_index - 1
+        request = AppendRequest(
+            group=self.group,
+            to=peer,
+            sender=self.identity,
+            term=self.term,
+            prev_index=prev_index,
+            prev_term=self.log.term_at(prev_index),
+            entries=entries,
+            commit=self.commit_index,
+            round=self._round,
+        )
+        progress.next_index += len(entries)
+        self._ready.messages.append(request)
+
+    def _on_append_request(self, request, now):
+        if request.term < self.term:
+            self._reply_append(request, success=False, match=0, hint=self.log.last_index)
+            return
+        self._follow(request.sender, now)
+        if not self._fits(request):
+            self._reply_append(request, success=False, match=0, hint=self._hint(request))
+            return
+        self._take_entries(request.entries)
+        match = request.prev_index + len(request.entries)
+        self._commit_to(min(request.commit, match))
+        self._reply_append(request, success=True, match=match, hint=0)
+
+    def _follow(self, leader, now):
+        if self.role is not Role.FOLLOWER or self.leader != leader:
+            self._become_follower(self.term, leader, now)
+        self._heard_from_leader = now
+        self._reset_election_timer(now)
+
+    def _fits(self, request):
+        if request.prev_index < self.log.snapshot_index:
+            # All up to the snapshot is committed here, so the entries must agree.
+            return request.prev_index + len(request.entries) >= self.log.snapshot_index
+        return self.log.term_at(request.prev_index) == request.prev_term
+
+    def _hint(self, request):
+        if request.prev_index < self.log.snapshot_index:
+            return self.log.snapshot_index
+        if request.prev_index > self.log.last_index:
+            return self.log.last_index
+        return self.log.first_index_of_term_at(request.prev_index) - 1
+
+    def _take_entries(self, entries):
+        for position, entry in enumerate(entries):
+            if entry.index <= self.log.snapshot_index:
+                continue
+            known_term = self.log.term_at(entry.index)
+            if known_term == entry.term:
+                continue
+            if known_term != -1:
+                self._truncate_from(entry.index)
+            self._append_entries(entries[position:])
+            return
+
+    def _truncate_from(self, index):
+        if index <= self.commit_index:
+            raise ConsensusError(f"A leader asked to drop the committed entry {index}.")
+        self.log.truncate_from(index)
+        self._synced_index = min(self._synced_index, index - 1)
+        self._ready.writes.append(TruncateLog(index))
+
+    def _reply_append(self, request, success, match, hint):
+        reply = AppendReply(
+            group=self.group,
+            to=request.sender,
+            sender=self.identity,
+            term=self.term,
+            success=success,
+            match_index=match,
+            hint_index=hint,
+            round=request.round,
+        )
+        self._ready.messages_after_sync.append(reply)
+
+    def _on_append_reply(self, reply, now):
+        progress = self.progress.get(reply.sender)
+        if not self.is_leader or reply.term != self.term or progress is None:
+            return
+        self._acknowledge(progress, reply.round)
+        if not reply.success:
+            progress.reject(reply.hint_index, self.log.last_index)
+            self._send_append(reply.sender, now, heartbeat=True)
+            return
+        if progress.accept(reply.match_index):
+            self._advance_commit()
+            self._after_progress(reply.sender, now)
+
+    def _after_progress(self, peer, now):
+        if not self.is_leader or peer not in self.progress:
+            return
+        if self._handover_to == peer:
+            self._continue_handover()
+        if self.progress[peer].next_index <= self.log.last_index:
+            self._send_append(peer, now)
+
+    def _acknowledge(self, progress, round_number):
+        started = self._round_started.get(round_number)
+        if started is not None:
+            progress.acknowledge(round_number, started)
+
+    def _advance_commit(self):
+        matched = [
+            self._synced_index if voter == self.identity else self._matched(voter)
+            for voter in self.voters
+        ]
+        index = reached_by_majority(matched)
+        if index > self.commit_index and self.log.term_at(index) == self.term:
+            self._commit_to(index)
+            self._leave_if_removed()
+
+    def _matched(self, voter):
+        progress = self.progress.get(voter)
+        return progress.match_index if progress else 0
+
+    def _commit_to(self, index):
+        if index > self.commit_index:
+            self.commit_index = index
+
+    def _leave_if_removed(self):
+        committed = self.log.members_index <= self.commit_index
+        if committed and self.identity not in self.voters:
+            self.role = Role.FOLLOWER
+            self.leader = ""
+            self.progress = {}
+
+    # ---- snapshots ----
+
+    def _send_snapshot(self, peer, now):
+        progress = self.progress[peer]
+        snapshot = self.log.snapshot
+        if progress.snapshot_index != snapshot.index:
+            progress.snapshot_index = snapshot.index
+            progress.snapshot_offset = 0
+        elif now < progress.snapshot_sent_at + self.timing.heartbeat:
+            return
+        self._send_chunk(peer, now)
+
+    def _send_chunk(self, peer, now):
+        progress = self.progress[peer]
+        snapshot = self.log.snapshot
+        end = progress.snapshot_offset + SNAPSHOT_CHUNK_BYTES
+        progress.snapshot_sent_at = now
+        self._ready.messages.append(
+            SnapshotChunk(
+                group=self.group,
+                to=peer,
+                sender=self.identity,
+                term=self.term,
+                index=snapshot.index,
+                index_term=snapshot.term,
+                members=encode_members(snapshot.members),
+                offset=progress.snapshot_offset,
+                data=snapshot.data[progress.snapshot_offset : end],
+                last=end >= len(snapshot.data),
+                round=self._round,
+            )
+        )
+
+    def _on_snapshot_chunk(self, chunk, now):
+        if chunk.term < self.term:
+            return
+        self._follow(chunk.sender, now)
+        if self.log.term_at(chunk.index) == chunk.index_term:
+            # The log holds this point: entries after it may have been acknowledged, so keep them.
+            self._commit_to(chunk.index)
+        if chunk.index <= self.commit_index:
+            self._reply_snapshot(chunk, offset=0, installed=True)
+            return
+        held = self._incoming_for(chunk)
+        if chunk.offset == len(held):
+            held.extend(chunk.data or b"")
+            if chunk.last:
+                self._install(chunk, bytes(held))
+                self._reply_snapshot(chunk, offset=0, installed=True)
+                return
+        self._reply_snapshot(chunk, offset=len(held), installed=False)
+
+    def _incoming_for(self, chunk):
+        if self._incoming is None or self._incoming[0] != chunk.index or chunk.offset == 0:
+            self._incoming = (chunk.index, bytearray())
+        return self._incoming[1]
+
+    def _install(self, chunk, data):
+        snapshot = Snapshot(
+            index=chunk.index,
+            term=chunk.index_term,
+            members=decode_members(chunk.members),
+            data=data,
+        )
+        self._incoming = None
+        self.log.reset(snapshot)
+        self._synced_index = snapshot.index
+        self.commit_index = snapshot.index
+        self.applied_index = snapshot.index
+        self._ready.restore = snapshot
+        self._ready.writes.append(SaveSnapshot(snapshot, keep_entries=False))
+
+    def _reply_snapshot(self, chunk, offset, installed):
+        reply = SnapshotReply(
+            group=self.group,
+            to=chunk.sender,
+            sender=self.identity,
+            term=self.term,
+            index=chunk.index,
+            offset=offset,
+            installed=installed,
+            round=chunk.round,
+        )
+        self._ready.messages_after_sync.append(reply)
+
+    def _on_snapshot_reply(self, reply, now):
+        progress = self.progress.get(reply.sender)
+        if not self.is_leader or reply.term != self.term or progress is None:
+            return
+        self._acknowledge(progress, reply.round)
+        if reply.installed:
+            progress.accept(reply.index)
+            progress.next_index = max(progress.next_index, reply.index + 1)
+            self._advance_commit()
+            self._after_progress(reply.sender, now)
+        elif reply.index == progress.snapshot_index == self.log.snapshot_index:
+            progress.snapshot_offset = reply.offset
+            self._send_chunk(reply.sender, now)
+
+    # ---- helpers ----
+
+    def _set_hard_state(self, state):
+        if state != self.hard_state:
+            self.hard_state = state
+            self._ready.writes.append(SaveHardState(state))
+
+    def _reset_election_timer(self, now):
+        low, high = self.timing.election_min, self.timing.election_max
+        self._election_due = now + self._random.uniform(low, high)
+
+    def _require_leader(self):
+        if not self.is_leader or self._handover_to:
+            raise NotLeader("" if self.leader == self.identity else self.leader)
--- /dev/null
+++ b/traystall/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control daemon: replicated state, orders to targets, subscribers."""
--- /dev/null
+++ b/traystall/control/daemon.py
@@ -0,0 +1,143 @@
+"""The `traystall-control` program: one replica of the log and what hangs on it."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import sys
+
+import aiomisc
+from aiohttp import web
+
+from traystall.conf.settings import Settings, load_or_exit
+from traystall.consensus.models import Timing
+from traystall.consensus.replica import Replica
+from traystall.control.exceptions import ControlError
+from traystall.control.formation import InitialMember, form_group
+from traystall.control.members import MemberChanges
+from traystall.control.node import Node
+from traystall.control.orders import Orderer
+from traystall.control.service import ControlService
+from traystall.control.settings import SETTINGS, check_control
+from traystall.control.state import StateMachine
+from traystall.control.subscribers import Subscribers
+from traystall.core import clock, daemon, logs
+from traystall.core.exceptions import ConsensusError, RpcError
+from traystall.core.health import add_health_routes
+from traystall.rpc.client import LinkIdentity, LinkPool
+from traystall.rpc.server import RpcServer
+from traystall.storage.folder import DataFolder
+
+GROUP = "main"
+ROLE = "control"
+
+logger = logging.getLogger(__name__)
+
+
+class ControlDaemon(aiomisc.Service):
+    """Wire the parts of a control daemon together."""
+
+    def __init__(self, settings: Settings):
+        super().__init__()
+        self._settings = settings
+        self._tasks: list[asyncio.Task] = []
+        self.node: Node | None = None
+
+    async def start(self) -> None:
+        """Open the data folder, join the group and begin to serve."""
+        settings = self._settings
+        folder = DataFolder(settings.data_folder)
+        loop = asyncio.get_running_loop()
+        recovered = await loop.run_in_executor(
+            None, folder.open, settings.cluster, settings.instance
+        )
+        identity = folder.identity.name
+        self._links = LinkPool(LinkIdentity(settings.cluster, ROLE, identity, settings.secret))
+        self.node = self._make_node(identity, folder, recovered)
+        subscribers = Subscribers(self.node, self._links, settings.rpc_listen)
+        self._members = MemberChanges(self.node)
+        self._orderer = Orderer(self.node)
+        service = ControlService(self.node, subscribers, self._members, settings.operator_token)
+        self._server = RpcServer(
+            settings.rpc_listen, settings.cluster, settings.secret, service.handle
+        )
+        await self._server.start()
+        self.node.start()
+        await self._start_http()
+        self._tasks = [
+            asyncio.create_task(self._form()),
+            asyncio.create_task(subscribers.share_forever()),
+            asyncio.create_task(self._orderer.run_forever()),
+        ]
+        logger.info("started", extra={"identity": identity})
+
+    async def until_stopped(self, stopping: asyncio.Event) -> None:
+        """Return on a signal, after handing leadership over; raise if the disk fails."""
+        stop = asyncio.ensure_future(stopping.wait())
+        await asyncio.wait({stop, self.node.failed}, return_when=asyncio.FIRST_COMPLETED)
+        if self.node.failed.done():
+            stop.cancel()
+            self.node.failed.result()
+        if self.node.replica.is_leader:
+            with contextlib.suppress(ControlError, ConsensusError, RpcError):
+                await self._members.hand_over()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """End serving and close the data folder."""
+        for task in self._tasks:
+            task.cancel()
+        await self._orderer.close()
+        await self._server.stop()
+        await self.node.stop()
+        await self._links.close()
+        await self._runner.cleanup()
+
+    def _make_node(self, identity, folder, recovered):
+        settings = self._settings
+        timing = Timing(settings.election_min, settings.election_max, settings.heartbeat)
+        replica = Replica(
+            identity=identity,
+            group=GROUP,
+            timing=timing,
+            random=random.SystemRandom(),
+            now=clock.monotonic(),
+            hard_state=recovered.hard_state,
+            log=recovered.log,
+        )
+        return Node(
+            replica,
+            StateMachine(),
+            folder,
+            self._links,
+            settings.rpc_listen,
+            known_addresses={},
+            snapshot_every=settings.snapshot_every,
+        )
+
+    async def _form(self):
+        settings = self._settings
+        initial = [
+            InitialMember(name, address, settings.initial_places.get(name, ""))
+            for name, address in settings.initial_members.items()
+        ]
+        await form_group(self.node, settings.instance, initial, self._links)
+
+    async def _start_http(self):
+        app = web.Application()
+        add_health_routes(app, self.node.is_fresh)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        host, _, port = self._settings.http_listen.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+
+
+def main() -> None:
+    """Run the daemon; exit with 2 on bad settings and 3 on a failed disk."""
+    settings = load_or_exit("traystall-control", SETTINGS, [check_control])
+    logs.configure(settings.log_level, settings.instance, settings.data_centre)
+    service = ControlDaemon(settings)
+    sys.exit(daemon.run(service, service.until_stopped))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/traystall/control/exceptions.py
@@ -0,0 +1,23 @@
+"""Errors of the control daemon."""
+
+from traystall.core.exceptions import TraystallError
+
+
+class ControlError(TraystallError):
+    """Be the base of errors of the control daemon."""
+
+
+class CommitInDoubt(ControlError):
+    """Report that a command may or may not have been committed."""
+
+
+class NoLeader(ControlError):
+    """Report that this daemon can't decide now; `leader` is where to ask, or empty."""
+
+    def __init__(self, leader=""):
+        self.leader = leader
+        super().__init__("This control daemon does not lead.")
+
+
+class LeaseLost(ControlError):
+    """Report that the leader's lease ended before something that needs it was done."""
--- /dev/null
+++ b/traystall/control/node.py
@@ -0,0 +1,271 @@
+"""Drive a replica: feed it time and messages, carry out what it asks for.
+
+The order that safety needs is kept here: messages that depend on a write leave
+only after that write is synced, and the own log counts only once it is synced.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from traystall.consensus.models import EntryKind, Ready
+from traystall.consensus.replica import Replica
+from traystall.control.exceptions import CommitInDoubt, NoLeader
+from traystall.control.state import StateMachine
+from traystall.core import clock, metrics
+from traystall.core.exceptions import DiskFailed, NotLeader, RpcError
+from traystall.rpc.client import LinkPool
+from traystall.storage.folder import DataFolder
+
+TICK_SECONDS = 0.05
+# A snapshot is taken after this many applied entries.
+SNAPSHOT_EVERY = 4096
+
+logger = logging.getLogger(__name__)
+
+
+class _StorageJob(msgspec.Struct):
+    """Hold writes and what may happen once they are synced."""
+
+    writes: list
+    messages: list
+    term: int
+    index: int
+
+
+class Node:
+    """Run one replica over a data folder and links to its peers."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        state: StateMachine,
+        folder: DataFolder,
+        links: LinkPool,
+        address: str,
+        known_addresses: dict[str, str],
+        snapshot_every: int = SNAPSHOT_EVERY,
+    ):
+        self.replica = replica
+        self.state = state
+        self.on_applied: list[Callable[[], None]] = []
+        self.failed: asyncio.Future = asyncio.get_running_loop().create_future()
+        self._folder = folder
+        self._links = links
+        self._address = address
+        self._known_addresses = dict(known_addresses)
+        self._snapshot_every = snapshot_every
+        self._jobs: asyncio.Queue[_StorageJob] = asyncio.Queue()
+        self._storage_busy = False
+        self._proposals: list[tuple[bytes, asyncio.Future]] = []
+        self._waiting: dict[int, tuple[int, asyncio.Future]] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._leader_seen_at = float("-inf")
+
+    def start(self) -> None:
+        """Restore the state machine and begin to tick."""
+        if self.replica.log.snapshot is not None:
+            self.state.restore(self.replica.log.snapshot.data)
+        self._spawn(self._tick_forever())
+        self._spawn(self._store_forever())
+
+    async def stop(self) -> None:
+        """Stop ticking; nothing is written after this returns."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.get_running_loop().run_in_executor(None, self._folder.close)
+
+    # ---- questions ----
+
+    def is_fresh(self) -> bool:
+        """Return whether this daemon follows a working leader, or leads with a lease."""
+        now = clock.monotonic()
+        if self.replica.is_leader:
+            return self.replica.holds_lease(now)
+        return now - self._leader_seen_at < self.replica.timing.election_max
+
+    def leader_address(self) -> str:
+        """Return the address of the leader as known here, or an empty string."""
+        return self.address_of(self.replica.leader) if self.replica.leader else ""
+
+    def address_of(self, identity: str) -> str:
+        """Return the address of a replica, or an empty string."""
+        for member in self.replica.members:
+            if member.identity == identity:
+                return member.address
+        return self._known_addresses.get(identity, "")
+
+    # ---- inputs ----
+
+    def deliver(self, message) -> None:
+        """Hand a peer's message to the replica."""
+        address = getattr(message, "sender_address", None)
+        if address:
+            self._known_addresses[message.sender] = address
+        self.replica.receive(message, clock.monotonic())
+        if self.replica.leader and message.sender == self.replica.leader:
+            self._leader_seen_at = clock.monotonic()
+        self.pump()
+
+    async def propose(self, command: bytes, timeout: float):
+        """Return the result of a committed command.
+
+        Raise NoLeader if it was not proposed here, CommitInDoubt if its fate is unknown.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._proposals.append((command, future))
+        if len(self._proposals) == 1:
+            asyncio.get_running_loop().call_soon(self._flush_proposals)
+        try:
+            async with asyncio.timeout(timeout):
+                return await future
+        except TimeoutError as error:
+            raise CommitInDoubt("No majority confirmed the change in time.") from error
+
+    async def change_members(self, members, timeout: float) -> None:
+        """Propose a change of members and return once it is committed."""
+        index = self.replica.propose_members(members, clock.monotonic())
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[index] = (self.replica.term, future)
+        self.pump()
+        try:
+            async with asyncio.timeout(timeout):
+                await future
+        except TimeoutError as error:
+            raise CommitInDoubt("No majority confirmed the change of members in time.") from error
+
+    def pump(self) -> None:
+        """Carry out what the replica has asked for since the last call."""
+        while ready := self.replica.take_ready():
+            self._carry_out(ready)
+        metrics.consensus_term.set({}, self.replica.term)
+        metrics.consensus_commit.set({}, self.replica.commit_index)
+
+    # ---- outputs ----
+
+    def _flush_proposals(self):
+        proposals, self._proposals = self._proposals, []
+        commands = [command for command, _ in proposals]
+        try:
+            indexes = self.replica.propose(commands, clock.monotonic())
+        except NotLeader:
+            for _, future in proposals:
+                _fail(future, NoLeader(self.leader_address()))
+            return
+        for index, (_, future) in zip(indexes, proposals, strict=True):
+            self._waiting[index] = (self.replica.term, future)
+        self.pump()
+
+    def _carry_out(self, ready: Ready):
+        self._send(ready.messages)
+        if ready.restore is not None:
+            self.state.restore(ready.restore.data)
+            self._doubt_all()
+        if ready.writes or ready.messages_after_sync:
+            self._store(ready)
+        if ready.committed:
+            self._apply(ready.committed)
+        elif ready.restore is not None:
+            self._notify()
+
+    def _store(self, ready):
+        idle = not self._storage_busy and self._jobs.empty()
+        if idle and not ready.writes:
+            self._send(ready.messages_after_sync)
+            return
+        log = self.replica.log
+        job = _StorageJob(ready.writes, ready.messages_after_sync, log.last_term, log.last_index)
+        self._jobs.put_nowait(job)
+
+    async def _store_forever(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            jobs = [await self._jobs.get()]
+            self._storage_busy = True
+            while not self._jobs.empty():
+                jobs.append(self._jobs.get_nowait())
+            writes = [write for job in jobs for write in job.writes]
+            try:
+                await loop.run_in_executor(None, self._folder.write, writes)
+            except DiskFailed as error:
+                self._fail_for_good(error)
+                return
+            self._storage_busy = False
+            self._after_sync(jobs)
+
+    def _after_sync(self, jobs):
+        for job in jobs:
+            self._send(job.messages)
+        self.replica.synced(jobs[-1].term, jobs[-1].index)
+        self.pump()
+
+    def _apply(self, entries):
+        for entry in entries:
+            result = None
+            if entry.kind == EntryKind.COMMAND:
+                result = self.state.apply(entry.command)
+            self._resolve(entry, result)
+        self._notify()
+        applied = self.replica.applied_index
+        if applied - self.replica.log.snapshot_index >= self._snapshot_every:
+            self.replica.compact(applied, self.state.snapshot())
+
+    def _resolve(self, entry, result):
+        term, future = self._waiting.pop(entry.index, (0, None))
+        if future is None or future.done():
+            return
+        if term == entry.term:
+            future.set_result(result)
+        else:
+            future.set_exception(NoLeader(self.leader_address()))
+
+    def _doubt_all(self):
+        for _, future in self._waiting.values():
+            _fail(future, CommitInDoubt("The state was replaced while the change was pending."))
+        self._waiting.clear()
+
+    def _notify(self):
+        for callback in self.on_applied:
+            callback()
+
+    def _send(self, messages):
+        for message in messages:
+            if message.to == self.replica.identity:
+                self.replica.receive(message, clock.monotonic())
+                continue
+            address = self.address_of(message.to)
+            if not address:
+                continue
+            if hasattr(message, "sender_address"):
+                message.sender_address = self._address
+            self._spawn(self._send_one(address, message))
+
+    async def _send_one(self, address, message):
+        try:
+            await self._links.link(address).send(message)
+        except RpcError as error:
+            logger.debug("message dropped", extra={"peer": address, "why": str(error)})
+
+    async def _tick_forever(self):
+        while True:
+            self.replica.tick(clock.monotonic())
+            self.pump()
+            await asyncio.sleep(TICK_SECONDS)
+
+    def _fail_for_good(self, error):
+        logger.critical("disk failed", extra={"why": str(error)})
+        if not self.failed.done():
+            self.failed.set_exception(error)
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _fail(future, error):
+    if not future.done():
+        future.set_exception(error)
--- /dev/null
+++ b/traystall/control/service.py
@@ -0,0 +1,219 @@
+"""Answer the calls of gateways, peers and operators."""
+
+import hmac
+import logging
+
+from traystall.catalog.deltas import entities_digest, make_delta
+from traystall.catalog.models import ApplyBundle, ApplyOutcome
+from traystall.control.exceptions import CommitInDoubt, NoLeader
+from traystall.control.members import MemberChanges
+from traystall.control.node import Node
+from traystall.control.subscribers import Subscribers
+from traystall.core import clock
+from traystall.core.exceptions import ConsensusError, RpcRefused
+from traystall.core.logs import decision
+from traystall.core.serialization import pack
+from traystall.ledger.models import Claim, Release, Settle
+from traystall.rpc.gen.wire import ttypes
+
+COMMIT_TIMEOUT = 3.0
+_MAX_REBASES = 20
+_DOUBTFUL_SHOWN = 100
+
+logger = logging.getLogger(__name__)
+
+
+class ControlService:
+    """Dispatch wire requests to the replicated state and the subscribers."""
+
+    def __init__(
+        self, node: Node, subscribers: Subscribers, members: MemberChanges, operator_token: str
+    ):
+        self._node = node
+        self._subscribers = subscribers
+        self._members = members
+        self._operator_token = operator_token
+        self._handlers = {
+            ttypes.ProbeRequest: self._probe,
+            ttypes.ApplyRequest: self._apply,
+            ttypes.StatusRequest: self._status,
+            ttypes.WatchRequest: subscribers.watch,
+            ttypes.DigestRequest: self._digest,
+            ttypes.ClaimRequest: self._claim,
+            ttypes.SettleRequest: self._settle,
+            ttypes.ReleaseRequest: self._release,
+            ttypes.MembersRequest: self._change_members,
+            ttypes.HandoverRequest: self._handover,
+        }
+
+    async def handle(self, request):
+        """Return the reply to one request; consensus messages get none."""
+        handler = self._handlers.get(type(request))
+        if handler is None:
+            self._node.deliver(request)
+            return None
+        try:
+            return await handler(request)
+        except NoLeader as error:
+            raise RpcRefused("not-leader", error.leader) from error
+        except CommitInDoubt as error:
+            raise RpcRefused("in-doubt", str(error)) from error
+        except ConsensusError as error:
+            raise RpcRefused("refused", str(error)) from error
+
+    # ---- peers ----
+
+    async def _probe(self, request):
+        replica = self._node.replica
+        return ttypes.ProbeReply(
+            identity=replica.identity,
+            empty=replica.log.last_index == 0 and replica.term == 0,
+            leader=self._node.leader_address(),
+            members=[to_wire_member(member) for member in replica.members],
+        )
+
+    async def _digest(self, request):
+        return self._subscribers.exchange(request)
+
+    # ---- catalog ----
+
+    async def _apply(self, request):
+        self._require_operator(request.token)
+        if entities_digest(request.entities or {}) != request.digest:
+            raise RpcRefused("bad-digest", "The bundle does not have the digest it came with.")
+        for _ in range(_MAX_REBASES):
+            result = await self._apply_once(request)
+            if result.outcome is not ApplyOutcome.REBASE:
+                decision(
+                    "apply",
+                    number=request.number,
+                    operator=request.operator,
+                    outcome=result.outcome,
+                    current=result.current,
+                )
+                return _to_apply_reply(result)
+        raise RpcRefused("busy", "Other operators keep changing the configuration; try again.")
+
+    async def _apply_once(self, request):
+        catalog = self._node.state.catalog
+        self._require_lease()
+        decided = catalog.lookup(request.number, request.digest)
+        if decided is not None:
+            return decided
+        command = ApplyBundle(
+            number=request.number,
+            digest=request.digest,
+            operator=request.operator,
+            delta=make_delta(catalog.entities, request.entities or {}),
+        )
+        return await self._node.propose(pack(command), COMMIT_TIMEOUT)
+
+    async def _status(self, request):
+        self._require_operator(request.token)
+        replica = self._node.replica
+        catalog = self._node.state.catalog
+        unsettled = self._node.state.ledger.unsettled()
+        doubtful = [
+            f"{entry.customer} {entry.claim_id} {entry.stage}"
+            for entry in unsettled
+            if not self._subscribers.is_live(entry.claimant)
+        ]
+        return ttypes.StatusReply(
+            identity=replica.identity,
+            leader=self._node.leader_address(),
+            term=replica.term,
+            commit=replica.commit_index,
+            number=catalog.number,
+            digest=catalog.digest,
+            gateways=self._subscribers.records(),
+            members=[to_wire_member(member) for member in replica.members],
+            lease=replica.holds_lease(clock.monotonic()),
+            doubtful=doubtful[:_DOUBTFUL_SHOWN],
+            claims=len(self._node.state.ledger),
+        )
+
+    # ---- ledger ----
+
+    async def _claim(self, request):
+        command = Claim(
+            customer=request.customer,
+            key=request.key,
+            fingerprint=request.fingerprint,
+            claim_id=request.claim_id,
+            claimant=request.claimant,
+            stage=request.stage or "",
+            retention=request.retention,
+            time=clock.wall(),
+        )
+        result = await self._node.propose(pack(command), COMMIT_TIMEOUT)
+        return ttypes.ClaimReply(
+            outcome=result.outcome.value,
+            claim_id=result.claim_id,
+            claimant=result.claimant,
+            claimant_alive=self._subscribers.is_live(result.claimant),
+            digest=result.digest,
+            holders=result.holders,
+        )
+
+    async def _settle(self, request):
+        command = Settle(
+            customer=request.customer,
+            key=request.key,
+            claim_id=request.claim_id,
+            digest=request.digest,
+            holders=request.holders or [],
+            time=clock.wall(),
+        )
+        outcome = await self._node.propose(pack(command), COMMIT_TIMEOUT)
+        return ttypes.SettleReply(outcome=outcome.value)
+
+    async def _release(self, request):
+        command = Release(
+            customer=request.customer,
+            key=request.key,
+            claim_id=request.claim_id,
+            time=clock.wall(),
+        )
+        outcome = await self._node.propose(pack(command), COMMIT_TIMEOUT)
+        return ttypes.ReleaseReply(outcome=outcome.value)
+
+    # ---- members ----
+
+    async def _change_members(self, request):
+        self._require_operator(request.token)
+        return await self._members.handle(request)
+
+    async def _handover(self, request):
+        self._require_operator(request.token)
+        await self._members.hand_over()
+        return ttypes.HandoverReply(leader=self._node.leader_address())
+
+    def _require_operator(self, token):
+        if self._operator_token and not hmac.compare_digest(token or "", self._operator_token):
+            raise RpcRefused("forbidden", "Operators' calls need the cluster's operator token.")
+
+    def _require_lease(self):
+        if not self._node.replica.holds_lease(clock.monotonic()):
+            raise NoLeader(self._node.leader_address())
+
+
+def to_wire_member(member) -> ttypes.Member:
+    """Return a member record as a wire message."""
+    return ttypes.Member(
+        identity=member.identity,
+        address=member.address,
+        data_centre=member.data_centre,
+        voter=member.voter,
+    )
+
+
+def _to_apply_reply(result):
+    revision = result.revision
+    return ttypes.ApplyReply(
+        outcome=result.outcome.value,
+        number=revision.number if revision else 0,
+        digest=revision.digest if revision else b"",
+        winner=revision.operator if revision else "",
+        current=result.current,
+        resent=result.resent,
+    )
--- /dev/null
+++ b/traystall/control/settings.py
@@ -0,0 +1,49 @@
+"""Settings of the control daemon."""
+
+from traystall.conf.checks import Problem, check_address, check_positive
+from traystall.conf.settings import Setting, Settings
+
+SETTINGS = (
+    Setting("cluster", str, "Name of the cluster; links from other clusters are refused."),
+    Setting("instance", str, "Name of this instance, unique in the cluster."),
+    Setting("data_centre", str, "Data centre of this instance."),
+    Setting("rpc_listen", str, "IP:PORT for links from other traystall processes."),
+    Setting("http_listen", str, "IP:PORT for /metrics, /livez and /readyz."),
+    Setting("data_folder", str, "Folder for the log and snapshots, on a disk of this instance."),
+    Setting(
+        "initial_members",
+        dict,
+        "NAME=IP:PORT pairs, comma separated, of the daemons that form the group at first.",
+    ),
+    Setting("initial_places", dict, "NAME=DATA_CENTRE pairs of the initial members.", ""),
+    Setting("secret", str, "Shared secret that signs links between processes.", "", secret=True),
+    Setting("operator_token", str, "Token that operators' calls must carry.", "", secret=True),
+    Setting("election_min", float, "Shortest election time-out, in seconds.", "1.0"),
+    Setting("election_max", float, "Longest election time-out, in seconds.", "2.0"),
+    Setting("heartbeat", float, "Seconds between a leader's heartbeats.", "0.2"),
+    Setting("snapshot_every", int, "Log entries between snapshots.", "4096"),
+    Setting("log_level", str, "Lowest level that is logged.", "info"),
+)
+
+
+def check_control(settings: Settings) -> list[Problem]:
+    """Return what is wrong with the settings taken together."""
+    problems = check_address("rpc_listen", settings.rpc_listen)
+    problems += check_address("http_listen", settings.http_listen)
+    for name, address in settings.initial_members.items():
+        problems += check_address(f"initial_members[{name}]", address)
+    if not settings.initial_members:
+        problems.append(
+            Problem("settings.E020", "initial_members is empty.", "Name every first member.")
+        )
+    problems += check_positive("heartbeat", settings.heartbeat)
+    problems += check_positive("snapshot_every", settings.snapshot_every)
+    if not settings.heartbeat * 3 <= settings.election_min < settings.election_max:
+        problems.append(
+            Problem(
+                "settings.E021",
+                "Three heartbeats must fit into election_min, which must be below election_max.",
+                "Raise election_min and election_max, or lower heartbeat.",
+            )
+        )
+    return problems
--- /dev/null
+++ b/traystall/control/state.py
@@ -0,0 +1,47 @@
+"""The replicated state machine: catalog and ledger behind one log."""
+
+import msgspec
+
+from traystall.catalog.models import ApplyBundle
+from traystall.catalog.state import Catalog
+from traystall.core.serialization import pack, unpack
+from traystall.ledger.models import Claim, Release, Settle
+from traystall.ledger.state import Ledger
+
+Command = ApplyBundle | Claim | Settle | Release
+
+
+class StateSnapshot(msgspec.Struct, frozen=True):
+    """Hold the encoded parts of a snapshot."""
+
+    catalog: bytes
+    ledger: bytes
+
+
+class StateMachine:
+    """Apply committed commands in log order."""
+
+    def __init__(self):
+        self.catalog = Catalog()
+        self.ledger = Ledger()
+
+    def apply(self, data: bytes):
+        """Apply one encoded command and return its typed result."""
+        command = unpack(data, Command)
+        if isinstance(command, ApplyBundle):
+            return self.catalog.apply(command)
+        if isinstance(command, Claim):
+            return self.ledger.claim(command)
+        if isinstance(command, Settle):
+            return self.ledger.settle(command)
+        return self.ledger.release(command)
+
+    def snapshot(self) -> bytes:
+        """Return the encoded state."""
+        return pack(StateSnapshot(self.catalog.snapshot(), self.ledger.snapshot()))
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by an encoded one."""
+        held = unpack(data, StateSnapshot)
+        self.catalog.restore(held.catalog)
+        self.ledger.restore(held.ledger)
--- /dev/null
+++ b/traystall/control/subscribers.py
@@ -0,0 +1,159 @@
+"""Gateways that watch: hand them deltas, note what they have in force, share the directory."""
+
+import asyncio
+import contextlib
+import logging
+
+from traystall.control.node import Node
+from traystall.core import clock
+from traystall.core.exceptions import RpcError
+from traystall.rpc.client import LinkPool
+from traystall.rpc.gen.wire.ttypes import (
+    DigestReply,
+    DigestRequest,
+    GatewayRecord,
+    WatchReply,
+    WatchRequest,
+)
+from traystall.tables.gateways import GatewayRow, GatewayTable
+
+# How long a watch is held open when nothing is new, in seconds.
+WATCH_HOLD = 1.0
+# An operator's client that reads the configuration calls itself this; it is not listed.
+OPERATOR_STATE = "operator"
+_SHARE_SECONDS = 1.0
+_SHARE_TIMEOUT = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+class Subscribers:
+    """Answer watches and keep the directory of gateways."""
+
+    def __init__(self, node: Node, links: LinkPool, address: str):
+        self.table = GatewayTable()
+        self._node = node
+        self._links = links
+        self._address = address
+        self._changed = asyncio.Event()
+        self._served_version = self.table.version
+        node.on_applied.append(self._wake)
+
+    async def watch(self, request: WatchRequest) -> WatchReply:
+        """Return what is new to a gateway, waiting a while if nothing is."""
+        if request.gateway.state != OPERATOR_STATE:
+            self._note(request.gateway, direct=True)
+        deadline = clock.monotonic() + WATCH_HOLD
+        while not self._has_news(request):
+            left = deadline - clock.monotonic()
+            if left <= 0 or request.directory_version != self.table.version:
+                break
+            await self._wait(left)
+        return self._reply(request)
+
+    def exchange(self, request: DigestRequest) -> DigestReply:
+        """Take in the gateways that another control daemon serves."""
+        for record in request.gateways or ():
+            self._note(record, direct=False)
+        return DigestReply(gateways=[])
+
+    def records(self) -> list[GatewayRecord]:
+        """Return the live gateways as wire records."""
+        now = clock.monotonic()
+        return [_to_record(row, now) for row in self.table.live(now)]
+
+    def is_live(self, identity: str) -> bool:
+        """Return whether a gateway was seen lately by any control daemon."""
+        return self.table.is_live(identity, clock.monotonic())
+
+    async def share_forever(self) -> None:
+        """Tell the other control daemons which gateways this one serves."""
+        while True:
+            await asyncio.sleep(_SHARE_SECONDS)
+            now = clock.monotonic()
+            direct = [_to_record(row, now) for row in self.table.live(now) if row.direct]
+            request = DigestRequest(sender=self._node.replica.identity, gateways=direct)
+            peers = [m.address for m in self._node.replica.members if m.address != self._address]
+            await asyncio.gather(*(self._share(address, request) for address in peers))
+
+    async def _share(self, address, request):
+        try:
+            await self._links.link(address).call(request, _SHARE_TIMEOUT)
+        except RpcError as error:
+            logger.debug("directory not shared", extra={"peer": address, "why": str(error)})
+
+    def _has_news(self, request):
+        catalog = self._node.state.catalog
+        if request.gateway.number == catalog.number:
+            return request.digest != catalog.digest
+        return request.gateway.number < catalog.number
+
+    def _reply(self, request):
+        catalog = self._node.state.catalog
+        reply = WatchReply(
+            number=catalog.number,
+            digest=catalog.digest,
+            full=False,
+            base=request.digest,
+            puts={},
+            deletes=[],
+            directory_version=self.table.version,
+            fresh=self._node.is_fresh(),
+        )
+        if request.directory_version != self.table.version:
+            reply.directory = self.records()
+        if request.gateway.number > catalog.number:
+            return reply
+        delta = catalog.delta_since(request.digest)
+        if delta is None:
+            reply.full = True
+            reply.puts = catalog.entities
+        else:
+            reply.puts = delta.puts
+            reply.deletes = delta.deletes
+        return reply
+
+    async def _wait(self, seconds):
+        changed = self._changed
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await changed.wait()
+
+    def _wake(self):
+        """Wake every watch that waits; later ones wait on a new event."""
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def _note(self, record, direct):
+        now = clock.monotonic()
+        version = self.table.version
+        self.table.put(_to_row(record, now, direct))
+        if self.table.version != version:
+            self._wake()
+
+
+def _to_row(record, now, direct):
+    return GatewayRow(
+        identity=record.identity,
+        instance=record.instance,
+        data_centre=record.data_centre,
+        address=record.address,
+        rpc_address=record.rpc_address,
+        number=record.number or 0,
+        state=record.state or "",
+        seen_at=now - (record.age or 0.0),
+        direct=direct,
+    )
+
+
+def _to_record(row, now):
+    return GatewayRecord(
+        identity=row.identity,
+        instance=row.instance,
+        data_centre=row.data_centre,
+        address=row.address,
+        rpc_address=row.rpc_address,
+        number=row.number,
+        state=row.state,
+        age=now - row.seen_at,
+    )
--- /dev/null
+++ b/traystall/core/__init__.py
@@ -0,0 +1,1 @@
+"""Errors, clock, identifiers, logs and metrics that every layer uses."""
--- /dev/null
+++ b/traystall/core/logs.py
@@ -0,0 +1,35 @@
+"""JSON log lines; one record for each routing or placement decision.
+
+No body, prompt or idempotency key may be passed to these functions.
+"""
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
+DECISION_LOGGER = "traystall.decisions"
+
+_decisions = logging.getLogger(DECISION_LOGGER)
+
+
+def configure(level: str, instance: str, data_centre: str) -> None:
+    """Send every log record to standard error as one JSON object a line."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(
+            _FORMAT,
+            rename_fields={"asctime": "time", "levelname": "level", "name": "logger"},
+            static_fields={"instance": instance, "data_centre": data_centre},
+        )
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+
+
+def decision(event: str, **fields) -> None:
+    """Write one decision record; `event` names the decision, `fields` say why."""
+    if _decisions.isEnabledFor(logging.INFO):
+        _decisions.info(event, extra=fields)
--- /dev/null
+++ b/traystall/gateway/adapters/http.py
@@ -0,0 +1,173 @@
+"""Make one HTTP exchange with a target and say truthfully what became of it.
+
+Work is only ever sent with POST, which the client library never resends by
+itself. Not-repeatable work goes over a fresh connection, so that a kept one
+which the target has just closed can't put it in doubt.
+"""
+
+import asyncio
+import json
+from contextlib import asynccontextmanager
+
+import aiohttp
+
+from traystall.core.exceptions import (
+    ProtocolMismatch,
+    TargetDoubt,
+    TargetFailed,
+    TargetNotRun,
+)
+from traystall.gateway.adapters.base import (
+    ATTEMPT_HEADER,
+    KEY_HEADER,
+    PRIORITY_HEADER,
+    PRIORITY_LEVEL,
+    RUN_HEADER,
+    STATE_HEADER,
+    Call,
+)
+from traystall.tables.requests import RunState
+
+_CONNECT_SECONDS = 0.5
+_READ_BYTES = 256 * 1024
+MAX_REPLY_BYTES = 16 * 1024 * 1024
+
+
+class TargetHttp:
+    """Hold the connections to targets; use it as an async context manager."""
+
+    def __init__(self):
+        self._kept: aiohttp.ClientSession | None = None
+        self._fresh: aiohttp.ClientSession | None = None
+
+    async def open(self) -> None:
+        """Open the connection pools."""
+        trace = aiohttp.TraceConfig()
+        trace.on_request_headers_sent.append(_mark_sending)
+        self._kept = _session(trace, force_close=False)
+        self._fresh = _session(trace, force_close=True)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for session in (self._kept, self._fresh):
+            if session is not None:
+                await session.close()
+
+    async def get_json(self, url: str, seconds: float) -> dict:
+        """Return a small JSON document; raise TargetFailed if there is none."""
+        timeout = aiohttp.ClientTimeout(total=seconds)
+        try:
+            async with self._fresh.get(url, timeout=timeout) as response:
+                if response.status != 200:
+                    raise TargetFailed(response.status, url)
+                return await response.json(content_type=None)
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            raise TargetFailed(0, type(error).__name__) from error
+
+    @asynccontextmanager
+    async def post(self, call: Call, path: str, document: dict):
+        """Yield the target's 200 response; raise a TargetError for anything else."""
+        session = self._kept if call.repeatable else self._fresh
+        headers = {
+            ATTEMPT_HEADER: call.attempt_id,
+            PRIORITY_HEADER: str(PRIORITY_LEVEL[call.priority]),
+        }
+        if call.key:
+            headers[KEY_HEADER] = call.key
+        progress = _Progress(call)
+        timeout = aiohttp.ClientTimeout(total=max(0.001, call.budget), connect=_CONNECT_SECONDS)
+        try:
+            async with session.post(
+                f"http://{call.target.address}{path}",
+                json=document,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
+                trace_request_ctx=progress,
+            ) as response:
+                call.on_headers(response.headers)
+                await _require_success(response, call)
+                yield response
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise _translate(error, progress) from error
+
+
+class _Progress:
+    """Remember whether a byte of the attempt may have left."""
+
+    def __init__(self, call):
+        self.call = call
+        self.sending = False
+
+    def mark(self):
+        if not self.sending:
+            self.sending = True
+            self.call.on_sending()
+
+
+async def _mark_sending(session, context, params):
+    progress = context.trace_request_ctx
+    if progress is not None:
+        progress.mark()
+
+
+def _session(trace, force_close):
+    connector = aiohttp.TCPConnector(limit=0, force_close=force_close)
+    return aiohttp.ClientSession(connector=connector, trace_configs=[trace], trust_env=False)
+
+
+async def _require_success(response, call):
+    if response.status == 200:
+        _require_own(response, call)
+        return
+    leaving = response.headers.get(STATE_HEADER) == "leaving"
+    retry_after = _seconds(response.headers.get("Retry-After"))
+    if response.headers.get(RUN_HEADER) == RunState.NOT_RUN:
+        _require_own(response, call)
+        response.close()
+        raise TargetNotRun(f"status {response.status}", retry_after, leaving, sent=True)
+    response.close()
+    raise TargetFailed(response.status, "no result")
+
+
+def _require_own(response, call):
+    answered = response.headers.get(ATTEMPT_HEADER)
+    if answered is not None and answered != call.attempt_id:
+        response.close()
+        raise ProtocolMismatch("the answer belongs to another attempt")
+
+
+async def read_json(response: aiohttp.ClientResponse, call: Call) -> dict:
+    """Return the whole JSON object of a response, checked to belong to the attempt."""
+    chunks = []
+    size = 0
+    async for chunk in response.content.iter_chunked(_READ_BYTES):
+        size += len(chunk)
+        if size > MAX_REPLY_BYTES:
+            raise TargetDoubt(f"its answer is over {MAX_REPLY_BYTES} bytes")
+        chunks.append(chunk)
+    try:
+        document = json.loads(b"".join(chunks))
+    except ValueError as error:
+        raise TargetDoubt("its answer is not JSON") from error
+    if not isinstance(document, dict):
+        raise TargetDoubt("its answer is not a JSON object")
+    if document.get("id", call.attempt_id) != call.attempt_id:
+        response.close()
+        raise ProtocolMismatch("the answer belongs to another attempt")
+    return document
+
+
+def _seconds(text):
+    try:
+        return float(text) if text else None
+    except ValueError:
+        return None
+
+
+def _translate(error, progress):
+    if not progress.sending:
+        return TargetNotRun(type(error).__name__)
+    if isinstance(error, asyncio.TimeoutError | TimeoutError):
+        return TargetDoubt("no answer in time")
+    return TargetDoubt(f"the connection failed ({type(error).__name__})")
--- /dev/null
+++ b/traystall/gateway/answers.py
@@ -0,0 +1,128 @@
+"""Write answers to callers: JSON, problem+json, or server-sent events with a final event."""
+
+import asyncio
+import contextlib
+import hashlib
+import json
+
+from aiohttp import web
+
+from traystall.gateway.problems import Refusal
+from traystall.tables.requests import RunState
+
+EVENT_STREAM = "text/event-stream"
+PROBLEM_JSON = "application/problem+json"
+# A stream whose caller reads this many bytes too slowly is ended.
+MAX_UNREAD_BYTES = 4 * 1024 * 1024
+
+
+def problem_document(refusal: Refusal, run: RunState, request_id: str = "") -> dict:
+    """Return the problem+json document of a refusal."""
+    return {
+        "type": f"urn:traystall:problem:{refusal.problem.code}",
+        "title": refusal.problem.title,
+        "status": refusal.problem.status,
+        "code": refusal.problem.code,
+        "detail": refusal.detail,
+        "run": run.value,
+        "request": request_id,
+    }
+
+
+def problem_response(refusal: Refusal, run: RunState, request_id: str = "") -> web.Response:
+    """Return a refusal as a response with Retry-After."""
+    return web.Response(
+        status=refusal.problem.status,
+        text=json.dumps(problem_document(refusal, run, request_id)),
+        content_type=PROBLEM_JSON,
+        headers={"Retry-After": str(refusal.retry_after)},
+    )
+
+
+def wants_stream(request: web.Request) -> bool:
+    """Return whether the caller asked for server-sent events."""
+    return EVENT_STREAM in request.headers.get("Accept", "")
+
+
+class EventStream:
+    """Write tokens as events; the answer is whole only with its final event."""
+
+    def __init__(self, request: web.Request):
+        self._request = request
+        self._response = web.StreamResponse(
+            headers={"Content-Type": EVENT_STREAM, "Cache-Control": "no-store"}
+        )
+        self._count = 0
+        self._digest = hashlib.sha256()
+        self._unsent = bytearray()
+        self._has_unsent = asyncio.Event()
+        self._pump: asyncio.Task | None = None
+        self._broken = False
+
+    @property
+    def response(self) -> web.StreamResponse:
+        """Return the response that carries the stream."""
+        return self._response
+
+    async def open(self) -> None:
+        """Send the response's headers and begin to pass on what is written."""
+        self._response.enable_chunked_encoding()
+        await self._response.prepare(self._request)
+        self._pump = asyncio.create_task(self._pump_forever())
+
+    def on_token(self, index: int, text: str) -> None:
+        """Write one token, in order and once, without waiting for the caller to read it."""
+        if index != self._count:
+            return
+        self._count += 1
+        self._digest.update(text.encode())
+        self._write("token", {"index": index, "text": text})
+
+    async def finish(self, answer: dict) -> None:
+        """Write the final event of a whole answer."""
+        final = {"count": self._count, "digest": self._digest.hexdigest(), **answer}
+        await self._end(final)
+
+    async def fail(self, refusal: Refusal, run: RunState, request_id: str) -> None:
+        """Write the final event of an answer that is not whole."""
+        document = problem_document(refusal, run, request_id)
+        document["retry_after"] = refusal.retry_after
+        await self._end({"status": "failed", "problem": document})
+
+    def abandon(self) -> None:
+        """Stop writing; the caller is gone."""
+        if self._pump is not None:
+            self._pump.cancel()
+
+    async def _end(self, document):
+        self.abandon()
+        self._write("final", document)
+        if not self._broken:
+            with contextlib.suppress(ConnectionError):
+                await self._response.write(bytes(self._unsent))
+                await self._response.write_eof()
+
+    def _write(self, event, document):
+        if self._broken:
+            return
+        self._unsent += f"event: {event}\ndata: {json.dumps(document)}\n\n".encode()
+        if len(self._unsent) > MAX_UNREAD_BYTES:
+            self._break()
+        self._has_unsent.set()
+
+    async def _pump_forever(self):
+        try:
+            while True:
+                await self._has_unsent.wait()
+                self._has_unsent.clear()
+                data, self._unsent = self._unsent, bytearray()
+                await self._response.write(bytes(data))
+        except ConnectionError:
+            self._broken = True
+
+    def _break(self):
+        """Cut a stream whose caller reads too slowly: it must not be taken for whole."""
+        self._broken = True
+        self._unsent.clear()
+        if self._request.transport is not None:
+            self._request.transport.abort()
--- /dev/null
+++ b/traystall/gateway/configuration.py
@@ -0,0 +1,166 @@
+"""Follow the configuration: watch a control daemon, take deltas, never step back."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from traystall.catalog.deltas import EMPTY_DIGEST, Delta, apply_delta, entities_digest
+from traystall.core import clock, metrics
+from traystall.core.exceptions import DeltaMismatch, RpcError
+from traystall.core.logs import decision
+from traystall.rpc.client import LinkPool
+from traystall.rpc.gen.wire.ttypes import GatewayRecord, WatchReply, WatchRequest
+from traystall.tables.configuration import ConfigurationTables
+from traystall.tables.gateways import GatewayRow
+
+_WATCH_TIMEOUT = 2.5
+_FIRST_TIMEOUT = 1.5
+_RETRY_SECONDS = 0.2
+
+logger = logging.getLogger(__name__)
+
+
+class HeldRevision:
+    """Hold the revision in force here; `take` moves it forward only."""
+
+    def __init__(self):
+        self.entities: dict[str, bytes] = {}
+        self.digest = EMPTY_DIGEST
+        self.tables = ConfigurationTables()
+
+    @property
+    def number(self) -> int:
+        """Return the number of the revision in force."""
+        return self.tables.number
+
+    def take(self, reply: WatchReply) -> bool:
+        """Take in a reply; return whether the revision moved. Raise DeltaMismatch if unusable."""
+        if (reply.number or 0) <= self.number:
+            return False
+        delta = self._delta_of(reply)
+        entities = apply_delta(self.entities, self.digest, delta)
+        self.tables = self.tables.updated(reply.number, entities, delta.changed)
+        self.entities = entities
+        self.digest = delta.result
+        return True
+
+    def _delta_of(self, reply):
+        if not reply.full:
+            return Delta(reply.base, reply.digest, reply.puts or {}, list(reply.deletes or ()))
+        if entities_digest(reply.puts or {}) != reply.digest:
+            raise DeltaMismatch("A full copy does not have the digest it came with.")
+        deletes = [key for key in self.entities if key not in reply.puts]
+        return Delta(self.digest, reply.digest, reply.puts, deletes)
+
+
+class ConfigurationFollower:
+    """Keep a HeldRevision and the gateway directory up to date."""
+
+    def __init__(
+        self,
+        links: LinkPool,
+        controls: list[str],
+        neighbours: list[str],
+        describe: Callable[[], GatewayRecord],
+    ):
+        self.held = HeldRevision()
+        self.directory: list[GatewayRow] = []
+        self.on_change: list[Callable[[], None]] = []
+        self._links = links
+        self._controls = controls
+        self._neighbours = neighbours
+        self._describe = describe
+        self._directory_version = 0
+
+    async def take_highest(self) -> None:
+        """Take the highest revision among all that can be reached; done once at the start."""
+        sources = [*self._controls, *self._neighbours]
+        replies = await asyncio.gather(*(self._ask(address, _FIRST_TIMEOUT) for address in sources))
+        usable = [reply for reply in replies if reply is not None and reply.number]
+        for reply in sorted(usable, key=lambda reply: reply.number, reverse=True):
+            if self._take(reply):
+                return
+
+    async def follow_forever(self) -> None:
+        """Watch the first fresh control daemon, the nearest first; fall back in turn."""
+        position = 0
+        while True:
+            address = self._controls[position % len(self._controls)]
+            reply = await self._ask(address, _WATCH_TIMEOUT)
+            if reply is not None:
+                self._take(reply)
+            if reply is None or not reply.fresh:
+                position += 1
+                self._directory_version = 0
+                await asyncio.sleep(_RETRY_SECONDS)
+
+    def answer_watch(self, request: WatchRequest) -> WatchReply:
+        """Return this gateway's revision to a neighbour that starts."""
+        return WatchReply(
+            number=self.held.number,
+            digest=self.held.digest,
+            full=True,
+            base=b"",
+            puts=self.held.entities,
+            deletes=[],
+            directory_version=0,
+            directory=[],
+            fresh=False,
+        )
+
+    async def _ask(self, address, timeout):
+        request = WatchRequest(
+            gateway=self._describe(),
+            digest=self.held.digest,
+            directory_version=self._directory_version,
+        )
+        try:
+            return await self._links.link(address).call(request, timeout)
+        except RpcError as error:
+            logger.info("watch failed", extra={"peer": address, "why": str(error)})
+            return None
+
+    def _take(self, reply) -> bool:
+        self._take_directory(reply)
+        try:
+            moved = self.held.take(reply)
+        except DeltaMismatch as error:
+            # Forget the base: the next watch then gets a full copy.
+            logger.warning("delta refused", extra={"why": str(error)})
+            self.held.digest = EMPTY_DIGEST
+            self.held.entities = {}
+            return False
+        if moved:
+            metrics.configuration_number.set({}, self.held.number)
+            decision("configuration", number=self.held.number, full=bool(reply.full))
+            self._notify()
+        return moved
+
+    def _take_directory(self, reply):
+        """Replace the directory; it is kept as it was while no control daemon answers."""
+        if reply.directory is None or not reply.directory_version:
+            return
+        before = [row.identity for row in self.directory]
+        now = clock.monotonic()
+        self.directory = [_to_row(record, now) for record in reply.directory]
+        self._directory_version = reply.directory_version
+        if before != [row.identity for row in self.directory]:
+            self._notify()
+
+    def _notify(self):
+        for callback in self.on_change:
+            callback()
+
+
+def _to_row(record, now):
+    return GatewayRow(
+        identity=record.identity,
+        instance=record.instance,
+        data_centre=record.data_centre,
+        address=record.address,
+        rpc_address=record.rpc_address,
+        number=record.number or 0,
+        state=record.state or "",
+        seen_at=now,
+        direct=False,
+    )
--- /dev/null
+++ b/traystall/gateway/context.py
@@ -0,0 +1,91 @@
+"""What the parts of a gateway share: tables, clients, learned times."""
+
+import random as random_module
+
+from traystall.core import clock
+from traystall.gateway.adapters.http import TargetHttp
+from traystall.gateway.configuration import ConfigurationFollower
+from traystall.gateway.dispatch import Dispatcher
+from traystall.gateway.ledger import LedgerClient
+from traystall.gateway.results import ResultStore
+from traystall.gateway.settings import Settings
+from traystall.rpc.client import LinkPool
+from traystall.systems import shares, speeds
+from traystall.systems.estimates import TimeTable
+from traystall.systems.limits import Limiter
+from traystall.systems.place import is_allowed
+from traystall.systems.retries import RetryBudget
+from traystall.tables.configuration import ConfigurationTables
+from traystall.tables.entities import Kind
+from traystall.tables.targets import TargetTable
+
+
+class GatewayContext:
+    """Hold the state of one gateway."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        identity: str,
+        links: LinkPool,
+        follower: ConfigurationFollower,
+        ledger: LedgerClient,
+    ):
+        self.settings = settings
+        self.identity = identity
+        self.links = links
+        self.follower = follower
+        self.ledger = ledger
+        self.random = random_module.Random()
+        self.http = TargetHttp()
+        self.targets = TargetTable()
+        self.times = TimeTable()
+        self.limiter = Limiter()
+        self.results = ResultStore()
+        self.retry_budget = RetryBudget()
+        self.dispatcher = Dispatcher(self.targets, self.random)
+        follower.on_change.append(self.on_configuration)
+
+    @property
+    def tables(self) -> ConfigurationTables:
+        """Return the configuration in force."""
+        return self.follower.held.tables
+
+    @property
+    def data_centre(self) -> str:
+        """Return the data centre of this gateway."""
+        return self.settings.data_centre
+
+    def on_configuration(self) -> None:
+        """Adapt targets, shares and kept results to a new revision or directory."""
+        self.targets.replace(self.tables.targets())
+        self.results.purge(self._may_keep)
+        self._deal_shares()
+        self.dispatcher.assign_all()
+
+    def tick(self) -> None:
+        """Do the periodic work: let old measurements fade, grant what time has freed."""
+        now = clock.monotonic()
+        for row in self.targets.all():
+            speeds.decay(row, now)
+        self.dispatcher.assign_all()
+
+    def _may_keep(self, name):
+        customer = self.tables.customer(name)
+        return customer is not None and is_allowed(customer, self.data_centre)
+
+    def _deal_shares(self):
+        gateways = [row.identity for row in self.follower.directory if row.state == "serving"]
+        for pool in {row.target.pool for row in self.targets.all()}:
+            rows = self.targets.pool(pool)
+            self._deal_pool(rows, gateways)
+
+    def _deal_pool(self, rows, gateways):
+        targets = [row.target for row in rows]
+        if targets[0].kind is not Kind.ENGINE:
+            for row in rows:
+                row.share = row.target.slots
+            return
+        dealt = shares.deal(targets, gateways, self.identity, self.settings.bulk_depth)
+        for row in rows:
+            row.share = dealt[row.target.name]
--- /dev/null
+++ b/traystall/gateway/daemon.py
@@ -0,0 +1,135 @@
+"""The `traystall-gateway` program: callers on one side, targets on the other."""
+
+import asyncio
+import logging
+import sys
+
+import aiomisc
+from aiohttp import web
+
+from traystall.conf.settings import Settings, load_or_exit
+from traystall.core import daemon, logs
+from traystall.core.health import add_health_routes
+from traystall.core.ids import new_id
+from traystall.gateway.configuration import ConfigurationFollower
+from traystall.gateway.context import GatewayContext
+from traystall.gateway.front import Front
+from traystall.gateway.ledger import LedgerClient
+from traystall.gateway.presence import PresenceWatcher
+from traystall.gateway.relay import Relay
+from traystall.gateway.service import GatewayService
+from traystall.gateway.settings import SETTINGS, check_gateway
+from traystall.rpc.client import LinkIdentity, LinkPool
+from traystall.rpc.gen.wire.ttypes import GatewayRecord
+from traystall.rpc.server import RpcServer
+
+ROLE = "gateway"
+_MAX_HEADER_BYTES = 16 * 1024
+
+logger = logging.getLogger(__name__)
+
+
+class GatewayDaemon(aiomisc.Service):
+    """Wire the parts of a gateway together."""
+
+    def __init__(self, settings: Settings):
+        super().__init__()
+        self._settings = settings
+        self._identity = f"{settings.instance}/{new_id()}"
+        self._tasks: list[asyncio.Task] = []
+        self._state = "serving"
+
+    async def start(self) -> None:
+        """Take the newest configuration within reach and begin to serve."""
+        settings = self._settings
+        self._links = LinkPool(
+            LinkIdentity(settings.cluster, ROLE, self._identity, settings.secret)
+        )
+        self._follower = ConfigurationFollower(
+            self._links, settings.control, settings.neighbours, self._describe
+        )
+        ledger = LedgerClient(self._links, settings.control)
+        self._context = GatewayContext(
+            settings, self._identity, self._links, self._follower, ledger
+        )
+        await self._context.http.open()
+        self._relay = Relay(self._context)
+        await self._relay.open()
+        service = GatewayService(self._context)
+        self._server = RpcServer(
+            settings.rpc_listen, settings.cluster, settings.secret, service.handle
+        )
+        await self._server.start()
+        await self._follower.take_highest()
+        await self._start_http()
+        self._tasks = [
+            asyncio.create_task(self._follower.follow_forever()),
+            asyncio.create_task(PresenceWatcher(self._context).watch_forever()),
+        ]
+        logger.info("started", extra={"identity": self._identity})
+
+    async def until_stopped(self, stopping: asyncio.Event) -> None:
+        """Wait for a signal, then drain: nothing in flight is cut."""
+        await stopping.wait()
+        logger.info("draining", extra={"in_flight": self._front.in_flight})
+        self._state = "draining"
+        self._front.draining = True
+        await asyncio.sleep(self._settings.drain_notice)
+        await self._site.stop()
+        await self._front.drain(self._settings.drain_limit)
+        logger.info("drained", extra={"in_flight": self._front.in_flight})
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Close every connection."""
+        for task in self._tasks:
+            task.cancel()
+        await self._runner.cleanup()
+        await self._server.stop()
+        await self._relay.close()
+        await self._context.http.close()
+        await self._links.close()
+
+    def _describe(self) -> GatewayRecord:
+        settings = self._settings
+        return GatewayRecord(
+            identity=self._identity,
+            instance=settings.instance,
+            data_centre=settings.data_centre,
+            address=settings.listen,
+            rpc_address=settings.rpc_listen,
+            number=self._follower.held.number,
+            state=self._state,
+            age=0.0,
+        )
+
+    def _is_ready(self):
+        return self._state == "serving" and self._follower.held.number > 0
+
+    async def _start_http(self):
+        app = web.Application(client_max_size=self._settings.max_body_bytes)
+        self._front = Front(self._context, self._relay)
+        self._front.add_routes(app)
+        add_health_routes(app, self._is_ready)
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            max_line_size=_MAX_HEADER_BYTES,
+            max_field_size=_MAX_HEADER_BYTES,
+        )
+        await self._runner.setup()
+        host, _, port = self._settings.listen.rpartition(":")
+        self._site = web.TCPSite(self._runner, host, int(port))
+        await self._site.start()
+
+
+def main() -> None:
+    """Run the daemon; exit with 2 on bad settings."""
+    settings = load_or_exit("traystall-gateway", SETTINGS, [check_gateway])
+    logs.configure(settings.log_level, settings.instance, settings.data_centre)
+    service = GatewayDaemon(settings)
+    sys.exit(daemon.run(service, service.until_stopped))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/traystall/gateway/dispatch.py
@@ -0,0 +1,109 @@
+"""Hold work at the gateway until an allowed target has room for it."""
+
+import asyncio
+from collections import defaultdict
+
+from traystall.core import clock
+from traystall.core.exceptions import GatewayError
+from traystall.core.logs import decision
+from traystall.systems import breakers, routing
+from traystall.systems.queues import FairClock, Waiter, order
+from traystall.tables.entities import PriorityClass
+from traystall.tables.targets import TargetRow, TargetTable
+
+
+class NoCandidate(GatewayError):
+    """Report that no allowed target can run the stage, now or soon."""
+
+
+class TooLateToStart(GatewayError):
+    """Report that no slot came free while the deadline could still be met."""
+
+
+class Dispatcher:
+    """Grant slots on targets to waiting attempts, pool by pool."""
+
+    def __init__(self, targets: TargetTable, random):
+        self._targets = targets
+        self._random = random
+        self._waiters: dict[str, list[Waiter]] = defaultdict(list)
+        self._fair = FairClock()
+
+    def waiting(self, pool: str) -> int:
+        """Return how many attempts wait for a target of the pool."""
+        return len(self._waiters[pool])
+
+    async def acquire(self, waiter: Waiter) -> TargetRow:
+        """Return a target with its slot taken; raise NoCandidate or TooLateToStart."""
+        pool = waiter.stage.pool
+        waiter.grant = asyncio.get_running_loop().create_future()
+        self._waiters[pool].append(waiter)
+        self.assign(pool)
+        try:
+            async with asyncio.timeout(max(0.0, waiter.latest_start - clock.monotonic())):
+                return await waiter.grant
+        except TimeoutError as error:
+            raise TooLateToStart("No target had room in time.") from error
+        except asyncio.CancelledError:
+            self._give_back(waiter)
+            raise
+        finally:
+            self._forget(waiter)
+
+    def release(self, row: TargetRow, priority: PriorityClass) -> None:
+        """Give a slot back and hand it to whoever waits."""
+        row.in_flight[priority] -= 1
+        self.assign(row.target.pool)
+
+    def assign(self, pool: str) -> None:
+        """Grant what can be granted now."""
+        waiters = self._waiters[pool]
+        if not waiters:
+            return
+        now = clock.monotonic()
+        rows = self._targets.pool(pool)
+        for waiter in order(waiters, self._fair) if len(waiters) > 1 else list(waiters):
+            self._consider(waiter, rows, now)
+
+    def assign_all(self) -> None:
+        """Grant what time or news has made possible in any pool."""
+        for pool in list(self._waiters):
+            self.assign(pool)
+
+    def _consider(self, waiter, rows, now):
+        if waiter.grant.done():
+            return
+        found = routing.candidates(rows, waiter.customer, waiter.stage, waiter.excluded, now)
+        if not found:
+            waiter.grant.set_exception(NoCandidate("No allowed target can run the stage."))
+            return
+        choice = routing.choose(found, waiter.priority, now, self._random)
+        if choice.row is None:
+            return
+        choice.row.in_flight[waiter.priority] += 1
+        breakers.on_sent(choice.row.breaker)
+        self._fair.charge(waiter.customer)
+        decision(
+            "route",
+            request=waiter.request_id,
+            stage=waiter.stage.name,
+            chosen=choice.row.target.name,
+            target_data_centre=choice.row.target.data_centre,
+            candidates=choice.candidates,
+            why=choice.why,
+            waited=round(now - waiter.since, 4),
+        )
+        waiter.grant.set_result(choice.row)
+
+    def _give_back(self, waiter):
+        """Return a slot that was granted at the moment the waiter was cancelled."""
+        grant = waiter.grant
+        if grant.done() and not grant.cancelled() and grant.exception() is None:
+            row = grant.result()
+            breakers.on_abandoned(row.breaker)
+            self.release(row, waiter.priority)
+
+    def _forget(self, waiter):
+        waiters = self._waiters[waiter.stage.pool]
+        if waiter in waiters:
+            waiters.remove(waiter)
--- /dev/null
+++ b/traystall/gateway/front.py
@@ -0,0 +1,221 @@
+"""The callers' side: accept requests, give each its one final answer in time."""
+
+import asyncio
+import logging
+from collections import OrderedDict
+
+from aiohttp import web
+
+from traystall.core import clock, metrics
+from traystall.core.logs import decision
+from traystall.gateway import answers, parsing, problems
+from traystall.gateway.context import GatewayContext
+from traystall.gateway.problems import Refusal
+from traystall.gateway.relay import Relay
+from traystall.gateway.runner import RequestRunner
+from traystall.systems import admission, limits
+from traystall.systems.place import is_allowed
+from traystall.tables.requests import RequestRow, RunState
+
+MAX_EXPLAINED = 2000
+
+logger = logging.getLogger(__name__)
+
+
+class Front:
+    """Handle `POST /v1/pipelines/{pipeline}/requests` and what belongs to it."""
+
+    def __init__(self, context: GatewayContext, relay: Relay):
+        self._context = context
+        self._relay = relay
+        self._runner = RequestRunner(context)
+        self._lingering: set[asyncio.Task] = set()
+        self._explained: OrderedDict[str, RequestRow] = OrderedDict()
+        self.in_flight = 0
+        self.draining = False
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the callers' routes to `app`."""
+        app.router.add_post("/v1/pipelines/{pipeline}/requests", self.handle)
+        app.router.add_get("/v1/requests/{request}", self.explain)
+
+    async def drain(self, seconds: float) -> None:
+        """Return once nothing is in flight, or after `seconds`."""
+        deadline = clock.monotonic() + seconds
+        while (self.in_flight or self._lingering) and clock.monotonic() < deadline:
+            await asyncio.sleep(0.02)
+        await self._context.ledger.drain()
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Answer one request, here or through a gateway inside its places."""
+        self.in_flight += 1
+        try:
+            response = await self._answer(request)
+            if self.draining:
+                response.force_close()
+            return response
+        except Refusal as refusal:
+            run = refusal.run or RunState.NOT_RUN
+            self._count(request.match_info["pipeline"], refusal.problem.code)
+            decision("refuse", code=refusal.problem.code, run=run.value, why=refusal.detail)
+            response = answers.problem_response(refusal, run)
+            # A body that was not read must not be taken for the next request.
+            response.force_close()
+            return response
+        finally:
+            self.in_flight -= 1
+
+    async def explain(self, request: web.Request) -> web.Response:
+        """Return where a recent request's stages ran and why; no payload."""
+        row = self._explained.get(request.match_info["request"])
+        if row is None:
+            return web.json_response({"error": "This gateway does not know it."}, status=404)
+        return web.json_response(explanation(row, self._context))
+
+    async def _answer(self, request):
+        started = clock.monotonic()
+        if not self._context.follower.held.number:
+            raise Refusal(problems.NOT_READY)
+        envelope = parsing.read_envelope(request, self._context.tables)
+        if not is_allowed(envelope.customer, self._context.data_centre):
+            return await self._relay.forward(request, envelope)
+        data = await parsing.read_body(request)
+        body = parsing.parse_body(data)
+        self._admit(envelope, started)
+        row = parsing.make_row(envelope, data, started)
+        self._remember(row)
+        try:
+            if answers.wants_stream(request):
+                return await self._run_streamed(request, row, body)
+            return await self._run_whole(row, body)
+        finally:
+            self._context.limiter.finish(row.customer)
+
+    def _admit(self, envelope, started):
+        context = self._context
+        now = clock.monotonic()
+        deadline = started + envelope.deadline_seconds
+        admitted = admission.admit(context.times, envelope.pipeline, deadline, now)
+        if not admitted.admitted:
+            raise Refusal(problems.TOO_LATE, admitted.why, admitted.retry_after)
+        count = limits.gateways_inside(envelope.customer, context.tables.data_centres())
+        index = limits.position_inside(
+            envelope.customer,
+            context.tables.data_centres(),
+            context.data_centre,
+            context.settings.index,
+        )
+        verdict = context.limiter.admit(envelope.customer, index, count, now)
+        if not verdict.within:
+            after = admission.retry_after_seconds(verdict.retry_after)
+            raise Refusal(problems.OVER_LIMIT, verdict.why, after)
+
+    async def _run_whole(self, row, body):
+        try:
+            answer = await self._run_in_time(row, body, lambda index, text: None)
+        except Refusal as refusal:
+            run = self._close(row, refusal)
+            return answers.problem_response(refusal, run, row.request_id)
+        self._count(row.pipeline.name, "complete")
+        return web.json_response(answer)
+
+    async def _run_streamed(self, request, row, body):
+        stream = answers.EventStream(request)
+        await stream.open()
+        try:
+            answer = await self._run_in_time(row, body, stream.on_token)
+            self._count(row.pipeline.name, "complete")
+            await stream.finish(answer)
+        except Refusal as refusal:
+            run = self._close(row, refusal)
+            await stream.fail(refusal, run, row.request_id)
+        finally:
+            stream.abandon()
+        return stream.response
+
+    async def _run_in_time(self, row, body, on_token) -> dict:
+        """Return the answer by the deadline or raise Refusal; claimed work goes on without us."""
+        task = asyncio.create_task(self._runner.run(row, body, on_token))
+        try:
+            await asyncio.wait({task}, timeout=max(0.0, row.deadline - clock.monotonic()))
+        except asyncio.CancelledError:
+            await self._let_go(row, task)
+            raise
+        if task.done():
+            return task.result()
+        await self._let_go(row, task)
+        if task.done() and not task.cancelled() and task.exception() is None:
+            return task.result()
+        run = RunState.MAY_HAVE_RUN if row.claimed else row.run_state
+        raise Refusal(problems.TOO_LATE, "The deadline passed.", 1, run)
+
+    async def _let_go(self, row, task):
+        """Cancel repeatable work and wait until it can't send any more; let claimed work run."""
+        if row.claimed or self._must_finish(row):
+            self._lingering.add(task)
+            task.add_done_callback(self._end_lingering)
+            return
+        task.cancel()
+        await asyncio.wait({task})
+
+    def _must_finish(self, row):
+        """Return whether unkeyed not-repeatable work is under way: cutting it helps nobody."""
+        started = bool(row.stages)
+        return started and not row.is_repeatable(row.pipeline.stages[len(row.stages) - 1])
+
+    def _end_lingering(self, task):
+        self._lingering.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.info("claimed work ended late", extra={"why": str(task.exception())})
+
+    def _close(self, row, refusal) -> RunState:
+        """Close the row and return what may truthfully be said of it."""
+        row.closed = True
+        run = refusal.run or row.run_state
+        self._count(row.pipeline.name, refusal.problem.code)
+        decision(
+            "refuse",
+            request=row.request_id,
+            code=refusal.problem.code,
+            run=run.value,
+            why=refusal.detail,
+        )
+        return run
+
+    def _remember(self, row):
+        self._explained[row.request_id] = row
+        if len(self._explained) > MAX_EXPLAINED:
+            self._explained.popitem(last=False)
+
+    def _count(self, pipeline, outcome):
+        if self._context.tables.pipeline(pipeline) is None:
+            pipeline = "unknown"
+        metrics.requests_total.inc({"pipeline": pipeline, "outcome": outcome})
+
+
+def explanation(row: RequestRow, context: GatewayContext) -> dict:
+    """Return what this gateway knows of a request, without payload."""
+    return {
+        "request": row.request_id,
+        "customer": row.customer,
+        "pipeline": row.pipeline.name,
+        "class": row.priority.value,
+        "gateway": context.settings.instance,
+        "data_centre": context.data_centre,
+        "run": row.run_state.value,
+        "finished": row.finished,
+        "attempts_sent": row.attempts_sent,
+        "attempts_not_run": row.attempts_not_run,
+        "stages": [
+            {
+                "stage": record.stage,
+                "target": record.target,
+                "data_centre": record.data_centre,
+                "attempts": record.attempts,
+                "seconds": round(record.seconds, 6),
+                "queued_seconds": round(record.queued_seconds, 6),
+                "wasted_seconds": round(record.wasted_seconds, 6),
+            }
+            for record in row.stages
+        ],
+    }
--- /dev/null
+++ b/traystall/gateway/presence.py
@@ -0,0 +1,72 @@
+"""Learn which targets are leaving: the platform's list and the targets' own word."""
+
+import asyncio
+import logging
+
+from traystall.core.exceptions import TargetError
+from traystall.gateway.context import GatewayContext
+from traystall.gateway.stages import note_presence
+from traystall.systems.membership import PresenceReport
+
+_ROUND_SECONDS = 1.0
+_ASK_SECONDS = 0.8
+
+logger = logging.getLogger(__name__)
+
+
+class PresenceWatcher:
+    """Ask the platform's list, and each target of this data centre, once a round."""
+
+    def __init__(self, context: GatewayContext):
+        self._context = context
+
+    async def watch_forever(self) -> None:
+        """Take in reports until cancelled."""
+        while True:
+            await asyncio.gather(self._read_list(), *self._ask_targets())
+            self._context.tick()
+            await asyncio.sleep(_ROUND_SECONDS)
+
+    async def _read_list(self):
+        url = self._context.settings.platform_list
+        if not url:
+            return
+        try:
+            document = await self._context.http.get_json(url, _ASK_SECONDS)
+        except TargetError as error:
+            logger.warning("platform list not read", extra={"why": str(error)})
+            return
+        for item in document.get("instances", []):
+            self._take(item)
+
+    def _take(self, item):
+        row = self._context.targets.get(str(item.get("name", "")))
+        if row is not None:
+            report = PresenceReport(
+                row.target.name, item.get("state") == "leaving", str(item.get("incarnation", ""))
+            )
+            note_presence(row, report)
+
+    def _ask_targets(self):
+        here = self._context.data_centre
+        rows = [row for row in self._context.targets.all() if row.target.data_centre == here]
+        return [self._ask(row) for row in rows]
+
+    async def _ask(self, row):
+        try:
+            document = await self._context.http.get_json(
+                f"http://{row.target.address}/v1/state", _ASK_SECONDS
+            )
+        except TargetError:
+            return
+        report = PresenceReport(
+            row.target.name,
+            document.get("state") == "leaving",
+            str(document.get("incarnation", "")),
+            first_hand=True,
+        )
+        note_presence(row, report)
+        ready = document.get("ready")
+        if isinstance(ready, list):
+            names = (item.get("name", "") for item in ready if isinstance(item, dict))
+            row.models = frozenset(names)
--- /dev/null
+++ b/traystall/gateway/results.py
@@ -0,0 +1,52 @@
+"""Keep answers of keyed not-repeatable work, inside the customer's data centres only."""
+
+from collections import OrderedDict
+
+import msgspec
+
+MAX_KEPT_BYTES = 64 * 1024 * 1024
+
+
+class KeptResult(msgspec.Struct):
+    """Hold one answer; `expires_at` is monotonic seconds."""
+
+    customer: str
+    data: bytes
+    expires_at: float
+
+
+class ResultStore:
+    """Hold answers by claim id, the oldest dropped first when the bound is reached."""
+
+    def __init__(self):
+        self._rows: OrderedDict[str, KeptResult] = OrderedDict()
+        self._bytes = 0
+
+    def put(self, claim_id: str, customer: str, data: bytes, retention: float, now: float) -> None:
+        """Keep an answer for `retention` seconds at most."""
+        self._drop(claim_id)
+        self._rows[claim_id] = KeptResult(customer, data, now + retention)
+        self._bytes += len(data)
+        while self._bytes > MAX_KEPT_BYTES:
+            self._drop(next(iter(self._rows)))
+
+    def get(self, claim_id: str, customer: str, now: float) -> bytes | None:
+        """Return a kept answer if it is this customer's and not expired, else None."""
+        row = self._rows.get(claim_id)
+        if row is None or row.customer != customer:
+            return None
+        if now >= row.expires_at:
+            self._drop(claim_id)
+            return None
+        return row.data
+
+    def purge(self, may_keep) -> None:
+        """Drop every answer of a customer for whom `may_keep(customer)` is false."""
+        for claim_id, row in list(self._rows.items()):
+            if not may_keep(row.customer):
+                self._drop(claim_id)
+
+    def _drop(self, claim_id):
+        row = self._rows.pop(claim_id, None)
+        if row is not None:
+            self._bytes -= len(row.data)
--- /dev/null
+++ b/traystall/gateway/runner.py
@@ -0,0 +1,241 @@
+"""Run a whole request: its stages in order, and its claim if it is keyed and not repeatable."""
+
+import asyncio
+import json
+
+from traystall.core import clock
+from traystall.core.exceptions import RpcError
+from traystall.core.logs import decision
+from traystall.core.serialization import digest
+from traystall.gateway import problems
+from traystall.gateway.context import GatewayContext
+from traystall.gateway.ledger import LedgerUnavailable
+from traystall.gateway.problems import Refusal
+from traystall.gateway.stages import StageRun, StageRunner
+from traystall.ledger.models import ClaimOutcome
+from traystall.rpc.gen.wire.ttypes import (
+    ClaimRequest,
+    FetchResultRequest,
+    HoldResultRequest,
+    ReleaseRequest,
+    SettleRequest,
+)
+from traystall.systems.place import holder_candidates, is_allowed
+from traystall.tables.requests import RequestRow, RunState, StageRecord
+
+# Claimed work goes on this long after its caller has had an answer, in seconds.
+LINGER_SECONDS = 60.0
+_HOLDERS_WANTED = 2
+_HOLD_SECONDS = 0.5
+_HELD_POLL_SECONDS = 0.2
+
+
+class RequestRunner:
+    """Run requests of this gateway."""
+
+    def __init__(self, context: GatewayContext):
+        self._context = context
+        self._stages = StageRunner(context)
+
+    async def run(self, row: RequestRow, body: dict, on_token) -> dict:
+        """Return the whole answer document, or raise Refusal."""
+        try:
+            return await self._run_stages(row, body, on_token)
+        except Refusal as refusal:
+            await self._close_claim(row, refusal)
+            raise
+
+    async def _run_stages(self, row, body, on_token):
+        results: dict[str, dict] = {}
+        for index, stage in enumerate(row.pipeline.stages):
+            if row.key and not row.claimed and not row.is_repeatable(stage):
+                held = await self._claim(row, stage)
+                if held is not None:
+                    return held
+            record = StageRecord(stage.name)
+            row.stages.append(record)
+            run = StageRun(
+                row=row,
+                index=index,
+                body=body,
+                results=results,
+                record=record,
+                on_token=on_token,
+                run_until=row.deadline + (LINGER_SECONDS if row.claimed else 0.0),
+            )
+            reply = await self._stages.run(run)
+            results[stage.name] = reply.result
+        row.finished = True
+        return await self._finish(row, make_answer(row, results[stage.name]))
+
+    async def _finish(self, row, answer):
+        if row.claimed:
+            await self._settle(row, answer)
+        row.closed = True
+        return answer
+
+    # ---- claims ----
+
+    async def _claim(self, row, stage) -> dict | None:
+        """Win the claim and return None, or return the answer that an earlier run left."""
+        try:
+            return await self._ask_for_claim(row, stage)
+        except asyncio.CancelledError:
+            # The claim may be committed, but nothing will be dispatched under it.
+            self._release(row)
+            raise
+
+    async def _ask_for_claim(self, row, stage):
+        request = ClaimRequest(
+            customer=row.customer,
+            key=row.key,
+            fingerprint=row.fingerprint,
+            claim_id=row.claim_id,
+            claimant=self._context.identity,
+            retention=row.pipeline.retention,
+            stage=stage.name,
+        )
+        while True:
+            remaining = row.deadline - clock.monotonic()
+            try:
+                reply = await self._context.ledger.claim(request, remaining)
+            except LedgerUnavailable as error:
+                if error.in_doubt:
+                    self._release(row)
+                raise Refusal(problems.LEDGER_UNAVAILABLE, str(error), 2) from error
+            decision("claim", request=row.request_id, stage=stage.name, outcome=reply.outcome)
+            if reply.outcome == ClaimOutcome.WON:
+                self._require_window(row)
+                row.on_claimed()
+                return None
+            if reply.outcome != ClaimOutcome.HELD or not reply.claimant_alive:
+                return await self._answer_of(row, reply)
+            if row.deadline - clock.monotonic() <= _HELD_POLL_SECONDS:
+                return await self._answer_of(row, reply)
+            await asyncio.sleep(_HELD_POLL_SECONDS)
+
+    def _require_window(self, row):
+        """Refuse to dispatch after the deadline: this process may have been frozen meanwhile."""
+        if clock.monotonic() >= row.deadline:
+            self._release(row)
+            raise Refusal(problems.TOO_LATE, "The claim came after the deadline.")
+
+    async def _answer_of(self, row, reply) -> dict:
+        """Return the answer that the holder of the key left; raise Refusal if there is none."""
+        if reply.outcome == ClaimOutcome.MISMATCH:
+            raise Refusal(problems.KEY_MISMATCH)
+        if reply.outcome == ClaimOutcome.EXPIRED:
+            raise Refusal(problems.KEY_EXPIRED, run=RunState.MAY_HAVE_RUN)
+        if reply.outcome == ClaimOutcome.HELD:
+            raise Refusal(problems.CLAIM_HELD, run=RunState.MAY_HAVE_RUN, retry_after=2)
+        if reply.outcome == ClaimOutcome.RELEASED:
+            raise Refusal(problems.LEDGER_UNAVAILABLE, "The claim was given back.")
+        data = await self._fetch(row, reply)
+        if data is None:
+            raise Refusal(problems.RESULT_GONE, f"Digest {reply.digest.hex()}.", run=RunState.RAN)
+        return json.loads(data) | {"replayed": True}
+
+    async def _fetch(self, row, reply) -> bytes | None:
+        own = self._context.results.get(reply.claim_id, row.customer, clock.monotonic())
+        if own is not None:
+            return own
+        request = FetchResultRequest(
+            claim_id=reply.claim_id,
+            customer=row.customer,
+            data_centre=self._context.data_centre,
+        )
+        for address in reply.holders or ():
+            try:
+                found = await self._context.links.link(address).call(request, _HOLD_SECONDS)
+            except RpcError:
+                continue
+            if found.found and digest(found.result) == reply.digest:
+                return found.result
+        return None
+
+    async def _settle(self, row, answer) -> None:
+        """Keep the answer in two places and commit the outcome before it is given."""
+        data = json.dumps(answer).encode()
+        holders = await self._keep(row, data)
+        request = SettleRequest(
+            customer=row.customer,
+            key=row.key,
+            claim_id=row.claim_id,
+            digest=digest(data),
+            holders=holders,
+        )
+        try:
+            await self._context.ledger.settle(request, LINGER_SECONDS)
+        except LedgerUnavailable as error:
+            raise Refusal(
+                problems.LEDGER_UNAVAILABLE, "The outcome is not recorded.", run=RunState.RAN
+            ) from error
+
+    async def _keep(self, row, data) -> list[str]:
+        context = self._context
+        customer = context.tables.customer(row.customer)
+        if customer is None or not is_allowed(customer, context.data_centre):
+            return []
+        now = clock.monotonic()
+        context.results.put(row.claim_id, row.customer, data, row.pipeline.retention, now)
+        holders = [context.settings.rpc_listen]
+        request = HoldResultRequest(
+            claim_id=row.claim_id,
+            customer=row.customer,
+            result=data,
+            retention=row.pipeline.retention,
+        )
+        others = holder_candidates(
+            customer, context.follower.directory, context.identity, context.data_centre
+        )
+        for other in others:
+            if len(holders) >= _HOLDERS_WANTED:
+                break
+            if await self._hold_at(other, request):
+                holders.append(other.rpc_address)
+        return holders
+
+    async def _hold_at(self, gateway, request) -> bool:
+        try:
+            reply = await self._context.links.link(gateway.rpc_address).call(request, _HOLD_SECONDS)
+        except RpcError:
+            return False
+        return bool(reply.held)
+
+    async def _close_claim(self, row, refusal) -> None:
+        """After a refusal: give the claim back if nothing ran under it, else leave it open."""
+        if not row.claimed:
+            return
+        if row.may_have_run_since_claim:
+            # The outcome stays open: a doubt is never turned into a run, nor into "not run".
+            decision("claim-in-doubt", request=row.request_id, why=refusal.problem.code)
+            return
+        self._release(row)
+
+    def _release(self, row):
+        row.claimed = False
+        self._context.ledger.release_later(
+            ReleaseRequest(customer=row.customer, key=row.key, claim_id=row.claim_id)
+        )
+
+
+def make_answer(row: RequestRow, result: dict) -> dict:
+    """Return the answer document: result, where each stage ran, and what it cost."""
+    return {
+        "request": row.request_id,
+        "status": "complete",
+        "result": result,
+        "stages": [
+            {
+                "stage": record.stage,
+                "target": record.target,
+                "data_centre": record.data_centre,
+                "attempts": record.attempts,
+                "seconds": round(record.seconds, 6),
+                "queued_seconds": round(record.queued_seconds, 6),
+                "wasted_seconds": round(record.wasted_seconds, 6),
+                "tokens": record.tokens,
+            }
+            for record in row.stages
+        ],
+    }
--- /dev/null
+++ b/traystall/gateway/service.py
@@ -0,0 +1,52 @@
+"""Answer other gateways: keep and fetch results, hand the configuration to a neighbour."""
+
+from traystall.core import clock
+from traystall.core.exceptions import RpcRefused
+from traystall.gateway.context import GatewayContext
+from traystall.rpc.gen.wire import ttypes
+from traystall.systems.place import is_allowed
+
+
+class GatewayService:
+    """Dispatch wire requests of neighbours."""
+
+    def __init__(self, context: GatewayContext):
+        self._context = context
+        self._handlers = {
+            ttypes.HoldResultRequest: self._hold,
+            ttypes.FetchResultRequest: self._fetch,
+            ttypes.WatchRequest: self._watch,
+        }
+
+    async def handle(self, request):
+        """Return the reply to one request."""
+        handler = self._handlers.get(type(request))
+        if handler is None:
+            raise RpcRefused("bad-method", "A gateway does not serve this call.")
+        return handler(request)
+
+    def _hold(self, request):
+        context = self._context
+        customer = context.tables.customer(request.customer)
+        if customer is None or not is_allowed(customer, context.data_centre):
+            return ttypes.HoldResultReply(held=False)
+        context.results.put(
+            request.claim_id,
+            request.customer,
+            request.result,
+            request.retention,
+            clock.monotonic(),
+        )
+        return ttypes.HoldResultReply(held=True)
+
+    def _fetch(self, request):
+        """Hand out a kept result only to a gateway inside the customer's data centres."""
+        context = self._context
+        customer = context.tables.customer(request.customer)
+        if customer is None or not is_allowed(customer, request.data_centre):
+            return ttypes.FetchResultReply(found=False)
+        data = context.results.get(request.claim_id, request.customer, clock.monotonic())
+        return ttypes.FetchResultReply(found=data is not None, result=data)
+
+    def _watch(self, request):
+        return self._context.follower.answer_watch(request)
--- /dev/null
+++ b/traystall/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Pure state machine of claims and outcomes of not-repeatable work."""
--- /dev/null
+++ b/traystall/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Framed thrift messages between traystall processes."""
--- /dev/null
+++ b/traystall/rpc/client.py
@@ -0,0 +1,152 @@
+"""A client link to one peer: multiplexed calls, one-way messages, reconnection on use."""
+
+import asyncio
+import itertools
+import logging
+
+from traystall.core.exceptions import RpcError, RpcRefused, RpcTimeout, RpcUnavailable
+from traystall.rpc.framing import make_hello, read_frame, write_frame
+from traystall.rpc.gen.wire.ttypes import Frame, Method
+from traystall.rpc.messages import METHOD_OF_REQUEST, REPLY_TYPES, decode, encode
+
+_CONNECT_TIMEOUT = 1.0
+_MAX_UNSENT_BYTES = 8 * 1024 * 1024
+
+logger = logging.getLogger(__name__)
+
+
+class LinkIdentity:
+    """Hold what this process says of itself when it opens a link."""
+
+    def __init__(self, cluster: str, role: str, sender: str, secret: str = ""):
+        self.cluster = cluster
+        self.role = role
+        self.sender = sender
+        self.secret = secret
+
+    def hello(self):
+        """Return a fresh signed greeting."""
+        return make_hello(self.cluster, self.role, self.sender, self.secret)
+
+
+class Link:
+    """Call one peer. A broken link fails its calls and is opened again by the next one."""
+
+    def __init__(self, address: str, identity: LinkIdentity):
+        self.address = address
+        self._identity = identity
+        self._call_ids = itertools.count(1)
+        self._pending: dict[int, asyncio.Future] = {}
+        self._writer: asyncio.StreamWriter | None = None
+        self._reader_task: asyncio.Task | None = None
+        self._connecting = asyncio.Lock()
+
+    async def call(self, request, timeout: float):
+        """Return the peer's reply to `request`; raise an RpcError if there is none."""
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._exchange(request)
+        except TimeoutError as error:
+            raise RpcTimeout(f"No reply from {self.address} within {timeout:.2f} s.") from error
+
+    async def send(self, message) -> None:
+        """Send a one-way message; drop it quietly if the peer is slow to take bytes."""
+        await self._ensure_open()
+        if self._writer.transport.get_write_buffer_size() > _MAX_UNSENT_BYTES:
+            return
+        method = METHOD_OF_REQUEST[type(message)]
+        write_frame(
+            self._writer, Frame(call_id=0, method=method, reply=False, body=encode(message))
+        )
+
+    async def close(self) -> None:
+        """Close the link; pending calls fail."""
+        if self._reader_task is not None:
+            self._reader_task.cancel()
+        self._drop(RpcUnavailable(f"The link to {self.address} was closed."))
+
+    async def _exchange(self, request):
+        await self._ensure_open()
+        method = METHOD_OF_REQUEST[type(request)]
+        call_id = next(self._call_ids)
+        future = asyncio.get_running_loop().create_future()
+        self._pending[call_id] = future
+        try:
+            frame = Frame(call_id=call_id, method=method, reply=False, body=encode(request))
+            write_frame(self._writer, frame)
+            reply = await future
+        finally:
+            self._pending.pop(call_id, None)
+        if reply.error:
+            raise RpcRefused(reply.error, reply.detail or "")
+        return decode(REPLY_TYPES[method], reply.body)
+
+    async def _ensure_open(self):
+        if self._writer is not None:
+            return
+        async with self._connecting:
+            if self._writer is None:
+                await self._open()
+
+    async def _open(self):
+        host, _, port = self.address.rpartition(":")
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                hello = Frame(
+                    call_id=0,
+                    method=Method.HELLO,
+                    reply=False,
+                    body=encode(self._identity.hello()),
+                )
+                write_frame(writer, hello)
+        except (OSError, TimeoutError) as error:
+            raise RpcUnavailable(f"{self.address} cannot be reached: {error}.") from error
+        self._writer = writer
+        self._reader_task = asyncio.create_task(self._read_replies(reader))
+
+    async def _read_replies(self, reader):
+        error = RpcUnavailable(f"The link to {self.address} broke.")
+        try:
+            while True:
+                frame = await read_frame(reader)
+                if frame.method == Method.HELLO:
+                    error = RpcRefused("refused-link", frame.detail or "")
+                    logger.error("link refused", extra={"peer": self.address, "why": frame.detail})
+                    return
+                future = self._pending.get(frame.call_id)
+                if future is not None and not future.done():
+                    future.set_result(frame)
+        except (OSError, asyncio.IncompleteReadError, RpcError):
+            pass
+        finally:
+            self._drop(error)
+
+    def _drop(self, error):
+        if self._writer is not None:
+            self._writer.close()
+            self._writer = None
+        for future in self._pending.values():
+            if not future.done():
+                future.set_exception(error)
+        self._pending.clear()
+
+
+class LinkPool:
+    """Keep one link for each peer address."""
+
+    def __init__(self, identity: LinkIdentity):
+        self._identity = identity
+        self._links: dict[str, Link] = {}
+
+    def link(self, address: str) -> Link:
+        """Return the link to `address`, made on first use."""
+        found = self._links.get(address)
+        if found is None:
+            found = self._links[address] = Link(address, self._identity)
+        return found
+
+    async def close(self) -> None:
+        """Close every link."""
+        for link in self._links.values():
+            await link.close()
--- /dev/null
+++ b/traystall/rpc/framing.py
@@ -0,0 +1,66 @@
+"""Length-prefixed frames over asyncio streams, and the signed greeting that opens a link."""
+
+import asyncio
+import hashlib
+import hmac
+import secrets
+
+from traystall.core import metrics
+from traystall.core.exceptions import RpcError
+from traystall.rpc.gen.wire.ttypes import Frame, Hello
+from traystall.rpc.messages import PROTOCOL_VERSION, decode, encode
+
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+_LENGTH_BYTES = 4
+_NONCE_BYTES = 16
+
+
+def write_frame(writer: asyncio.StreamWriter, frame: Frame) -> int:
+    """Queue `frame` on `writer` and return its size in bytes."""
+    data = encode(frame)
+    writer.write(len(data).to_bytes(_LENGTH_BYTES, "big") + data)
+    size = len(data) + _LENGTH_BYTES
+    metrics.rpc_bytes_total.add({"direction": "out"}, size)
+    return size
+
+
+async def read_frame(reader: asyncio.StreamReader) -> Frame:
+    """Return the next frame; raise RpcError if it is oversized or malformed."""
+    prefix = await reader.readexactly(_LENGTH_BYTES)
+    length = int.from_bytes(prefix, "big")
+    if length > MAX_FRAME_BYTES:
+        raise RpcError(f"A frame of {length} bytes is over the limit of {MAX_FRAME_BYTES}.")
+    data = await reader.readexactly(length)
+    metrics.rpc_bytes_total.add({"direction": "in"}, length + _LENGTH_BYTES)
+    return decode(Frame, data)
+
+
+def make_hello(cluster: str, role: str, sender: str, secret: str) -> Hello:
+    """Return the greeting of a link, signed when a shared secret is set."""
+    hello = Hello(
+        cluster=cluster,
+        role=role,
+        protocol=PROTOCOL_VERSION,
+        sender=sender,
+        nonce=secrets.token_bytes(_NONCE_BYTES),
+    )
+    hello.signature = _sign(hello, secret)
+    return hello
+
+
+def refuse_reason(hello: Hello, cluster: str, secret: str) -> str:
+    """Return why a greeting must be refused, or an empty string."""
+    if hello.cluster != cluster:
+        return f"This process belongs to cluster '{cluster}', not '{hello.cluster}'."
+    if hello.protocol != PROTOCOL_VERSION:
+        return f"Protocol {hello.protocol} is not spoken here, only {PROTOCOL_VERSION}."
+    if secret and not hmac.compare_digest(hello.signature or b"", _sign(hello, secret)):
+        return "The greeting is not signed with this cluster's secret."
+    return ""
+
+
+def _sign(hello: Hello, secret: str) -> bytes:
+    if not secret:
+        return b""
+    text = f"{hello.cluster}\n{hello.role}\n{hello.protocol}\n{hello.sender}\n".encode()
+    return hmac.new(secret.encode(), text + (hello.nonce or b""), hashlib.sha256).digest()
--- /dev/null
+++ b/traystall/rpc/gen/wire/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/traystall/rpc/messages.py
@@ -0,0 +1,68 @@
+"""Encode and decode wire messages; the one place that knows thrift's protocol classes."""
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.Thrift import TException
+from thrift.transport.TTransport import TMemoryBuffer
+from thrift.TSerialization import serialize
+
+from traystall.core.exceptions import RpcError
+from traystall.rpc.gen.wire import ttypes
+from traystall.rpc.gen.wire.ttypes import Method
+
+_factory = TCompactProtocolAcceleratedFactory()
+
+PROTOCOL_VERSION = 1
+
+REQUEST_TYPES = {
+    Method.HELLO: ttypes.Hello,
+    Method.VOTE_REQUEST: ttypes.VoteRequest,
+    Method.VOTE_REPLY: ttypes.VoteReply,
+    Method.APPEND_REQUEST: ttypes.AppendRequest,
+    Method.APPEND_REPLY: ttypes.AppendReply,
+    Method.SNAPSHOT_CHUNK: ttypes.SnapshotChunk,
+    Method.SNAPSHOT_REPLY: ttypes.SnapshotReply,
+    Method.TIMEOUT_NOW: ttypes.TimeoutNow,
+    Method.PROBE: ttypes.ProbeRequest,
+    Method.APPLY: ttypes.ApplyRequest,
+    Method.STATUS: ttypes.StatusRequest,
+    Method.WATCH: ttypes.WatchRequest,
+    Method.DIGEST: ttypes.DigestRequest,
+    Method.CLAIM: ttypes.ClaimRequest,
+    Method.SETTLE: ttypes.SettleRequest,
+    Method.RELEASE: ttypes.ReleaseRequest,
+    Method.MEMBERS: ttypes.MembersRequest,
+    Method.HOLD_RESULT: ttypes.HoldResultRequest,
+    Method.FETCH_RESULT: ttypes.FetchResultRequest,
+    Method.HANDOVER: ttypes.HandoverRequest,
+}
+REPLY_TYPES = {
+    Method.HELLO: ttypes.HelloReply,
+    Method.PROBE: ttypes.ProbeReply,
+    Method.APPLY: ttypes.ApplyReply,
+    Method.STATUS: ttypes.StatusReply,
+    Method.WATCH: ttypes.WatchReply,
+    Method.DIGEST: ttypes.DigestReply,
+    Method.CLAIM: ttypes.ClaimReply,
+    Method.SETTLE: ttypes.SettleReply,
+    Method.RELEASE: ttypes.ReleaseReply,
+    Method.MEMBERS: ttypes.MembersReply,
+    Method.HOLD_RESULT: ttypes.HoldResultReply,
+    Method.FETCH_RESULT: ttypes.FetchResultReply,
+    Method.HANDOVER: ttypes.HandoverReply,
+}
+METHOD_OF_REQUEST = {kind: method for method, kind in REQUEST_TYPES.items()}
+
+
+def encode(message) -> bytes:
+    """Return the compact encoding of a generated message."""
+    return serialize(message, protocol_factory=_factory)
+
+
+def decode(kind, data: bytes):
+    """Return `data` decoded as the generated class `kind`, or raise RpcError."""
+    message = kind()
+    try:
+        message.read(_factory.getProtocol(TMemoryBuffer(data)))
+    except (TException, EOFError, ValueError, TypeError, UnicodeDecodeError) as error:
+        raise RpcError(f"A frame could not be decoded as {kind.__name__}: {error}.") from error
+    return message
--- /dev/null
+++ b/traystall/rpc/server.py
@@ -0,0 +1,93 @@
+"""Accept links from other traystall processes and hand their messages to a handler."""
+
+import asyncio
+import logging
+
+from traystall.core.exceptions import RpcError, RpcRefused
+from traystall.rpc.framing import read_frame, refuse_reason, write_frame
+from traystall.rpc.gen.wire.ttypes import Frame, Hello, Method
+from traystall.rpc.messages import REQUEST_TYPES, decode, encode
+
+_GREETING_TIMEOUT = 5.0
+
+logger = logging.getLogger(__name__)
+
+
+class RpcServer:
+    """Serve framed calls; `handler(request)` returns a reply message or raises RpcRefused."""
+
+    def __init__(self, address: str, cluster: str, secret: str, handler):
+        self._address = address
+        self._cluster = cluster
+        self._secret = secret
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        """Bind the address and begin to accept links."""
+        host, _, port = self._address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve_link, host, int(port))
+
+    async def stop(self) -> None:
+        """Stop accepting and end what is being served."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def _serve_link(self, reader, writer):
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            if await self._greet(reader, writer):
+                await self._serve_frames(reader, writer)
+        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+            pass
+        except RpcError as error:
+            logger.warning("link closed", extra={"why": str(error)})
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _greet(self, reader, writer) -> bool:
+        async with asyncio.timeout(_GREETING_TIMEOUT):
+            frame = await read_frame(reader)
+        if frame.method != Method.HELLO:
+            raise RpcError("A link must open with a greeting.")
+        reason = refuse_reason(decode(Hello, frame.body), self._cluster, self._secret)
+        if not reason:
+            return True
+        logger.warning("link refused", extra={"why": reason})
+        refusal = Frame(call_id=0, method=Method.HELLO, reply=True, error="refused", detail=reason)
+        write_frame(writer, refusal)
+        await writer.drain()
+        return False
+
+    async def _serve_frames(self, reader, writer):
+        while True:
+            frame = await read_frame(reader)
+            kind = REQUEST_TYPES.get(frame.method)
+            if kind is None:
+                raise RpcError(f"Method {frame.method} is unknown.")
+            request = decode(kind, frame.body)
+            if frame.call_id == 0:
+                await self._handler(request)
+                continue
+            task = asyncio.create_task(self._answer(writer, frame, request))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, writer, frame, request):
+        reply = Frame(call_id=frame.call_id, method=frame.method, reply=True)
+        try:
+            reply.body = encode(await self._handler(request))
+        except RpcRefused as error:
+            reply.error = error.code
+            reply.detail = error.detail
+        except Exception as error:  # noqa: BLE001 - the peer must get an answer; the log says why.
+            logger.exception("call failed")
+            reply.error = "internal"
+            reply.detail = type(error).__name__
+        write_frame(writer, reply)
+        await writer.drain()
--- /dev/null
+++ b/traystall/rpc/traystall.thrift
@@ -0,0 +1,140 @@
+// Messages between traystall's own processes. Regenerate with:
+//   thrift --gen py:slots -out traystall/rpc/gen traystall/rpc/traystall.thrift
+// Times are in seconds on no particular clock unless a field says otherwise.
+namespace py wire
+
+enum Method {
+  HELLO = 1
+  VOTE_REQUEST = 2
+  VOTE_REPLY = 3
+  APPEND_REQUEST = 4
+  APPEND_REPLY = 5
+  SNAPSHOT_CHUNK = 6
+  SNAPSHOT_REPLY = 7
+  TIMEOUT_NOW = 8
+  PROBE = 10
+  APPLY = 11
+  STATUS = 12
+  WATCH = 13
+  DIGEST = 14
+  CLAIM = 15
+  SETTLE = 16
+  RELEASE = 17
+  MEMBERS = 18
+  HOLD_RESULT = 19
+  FETCH_RESULT = 20
+  HANDOVER = 21
+}
+
+// One framed exchange. call_id 0 means that no reply is expected.
+struct Frame {
+  1: i64 call_id
+  2: i32 method
+  3: bool reply
+  4: binary body
+  5: string error
+  6: string detail
+}
+
+struct Hello {
+  1: string cluster
+  2: string role
+  3: i32 protocol
+  4: string sender
+  5: binary nonce
+  6: binary signature
+}
+
+struct HelloReply { 1: bool accepted, 2: string reason, 3: string sender }
+
+// ---- consensus ----
+struct LogEntry { 1: i64 index, 2: i64 term, 3: i32 kind, 4: binary command }
+
+struct VoteRequest {
+  1: string group, 2: string to, 3: string sender, 4: i64 term
+  5: i64 last_index, 6: i64 last_term, 7: bool pre_vote, 8: bool handover
+  20: string sender_address
+}
+struct VoteReply {
+  1: string group, 2: string to, 3: string sender, 4: i64 term
+  5: bool granted, 6: bool pre_vote
+}
+struct AppendRequest {
+  1: string group, 2: string to, 3: string sender, 4: i64 term
+  5: i64 prev_index, 6: i64 prev_term, 7: list<LogEntry> entries
+  8: i64 commit, 9: i64 round
+  20: string sender_address
+}
+struct AppendReply {
+  1: string group, 2: string to, 3: string sender, 4: i64 term
+  5: bool success, 6: i64 match_index, 7: i64 hint_index, 8: i64 round
+}
+struct SnapshotChunk {
+  1: string group, 2: string to, 3: string sender, 4: i64 term
+  5: i64 index, 6: i64 index_term, 7: binary members
+  8: i64 offset, 9: binary data, 10: bool last, 11: i64 round
+  20: string sender_address
+}
+struct SnapshotReply {
+  1: string group, 2: string to, 3: string sender, 4: i64 term
+  5: i64 index, 6: i64 offset, 7: bool installed, 8: i64 round
+}
+struct TimeoutNow { 1: string group, 2: string to, 3: string sender, 4: i64 term }
+
+// ---- formation and members ----
+struct ProbeRequest { 1: string instance }
+struct Member { 1: string identity, 2: string address, 3: string data_centre, 4: bool voter }
+struct ProbeReply { 1: string identity, 2: bool empty, 3: string leader, 4: list<Member> members }
+struct MembersRequest { 1: string action, 2: Member member, 3: string replaces, 4: string token }
+struct MembersReply { 1: list<Member> members, 2: string leader, 3: i64 commit, 4: map<string, i64> matched, 5: bool done }
+struct HandoverRequest { 1: string token }
+struct HandoverReply { 1: string leader }
+
+// ---- catalog ----
+struct ApplyRequest {
+  1: i64 number, 2: binary digest, 3: map<string, binary> entities
+  4: string operator, 5: string token
+}
+struct ApplyReply {
+  1: string outcome, 2: i64 number, 3: binary digest, 4: string winner, 5: i64 current, 6: bool resent
+}
+struct GatewayRecord {
+  1: string identity, 2: string instance, 3: string data_centre, 4: string address
+  5: string rpc_address, 6: i64 number, 7: string state, 8: double age
+}
+struct WatchRequest { 1: GatewayRecord gateway, 2: binary digest, 3: i64 directory_version }
+struct WatchReply {
+  1: i64 number, 2: binary digest, 3: bool full, 4: binary base
+  5: map<string, binary> puts, 6: list<string> deletes
+  7: i64 directory_version, 8: list<GatewayRecord> directory, 9: bool fresh
+}
+struct DigestRequest { 1: string sender, 2: list<GatewayRecord> gateways }
+struct DigestReply { 1: list<GatewayRecord> gateways }
+struct StatusRequest { 1: string token }
+struct StatusReply {
+  1: string identity, 2: string leader, 3: i64 term, 4: i64 commit, 5: i64 number, 6: binary digest
+  7: list<GatewayRecord> gateways, 8: list<Member> members, 9: bool lease
+  10: list<string> doubtful, 11: i64 claims
+}
+
+// ---- ledger ----
+struct ClaimRequest {
+  1: string customer, 2: string key, 3: binary fingerprint, 4: string claim_id
+  5: string claimant, 6: double retention, 7: string stage
+}
+struct ClaimReply {
+  1: string outcome, 2: string claim_id, 3: string claimant, 4: bool claimant_alive
+  5: binary digest, 6: list<string> holders
+}
+struct SettleRequest {
+  1: string customer, 2: string key, 3: string claim_id, 4: binary digest, 5: list<string> holders
+}
+struct SettleReply { 1: string outcome }
+struct ReleaseRequest { 1: string customer, 2: string key, 3: string claim_id }
+struct ReleaseReply { 1: string outcome }
+
+// ---- kept results between gateways of a customer's data centres ----
+struct HoldResultRequest { 1: string claim_id, 2: string customer, 3: binary result, 4: double retention }
+struct HoldResultReply { 1: bool held }
+struct FetchResultRequest { 1: string claim_id, 2: string customer, 3: string data_centre }
+struct FetchResultReply { 1: bool found, 2: binary result }
--- /dev/null
+++ b/traystall/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable files of a control daemon: write-ahead log, snapshots, identity."""
--- /dev/null
+++ b/traystall/systems/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions over the tables, one module a decision."""
--- /dev/null
+++ b/traystall/systems/breakers.py
@@ -0,0 +1,46 @@
+"""Keep work off a target that fails, however fast it fails.
+
+Slowness is not failure: it raises the service ratio in `traystall.systems.speeds`.
+"""
+
+from traystall.tables.targets import Breaker
+
+FAILURES_TO_OPEN = 3
+FIRST_OPEN_SECONDS = 0.5
+MAX_OPEN_SECONDS = 10.0
+
+
+def may_try(breaker: Breaker, now: float) -> bool:
+    """Return whether work may be sent; an open breaker lets one probe through when due."""
+    if breaker.failures < FAILURES_TO_OPEN:
+        return True
+    return now >= breaker.open_until and not breaker.probing
+
+
+def on_sent(breaker: Breaker) -> None:
+    """Record that work was sent; under an open breaker it is the probe."""
+    if breaker.failures >= FAILURES_TO_OPEN:
+        breaker.probing = True
+
+
+def on_success(breaker: Breaker) -> None:
+    """Close the breaker."""
+    breaker.failures = 0
+    breaker.opened = 0
+    breaker.probing = False
+
+
+def on_abandoned(breaker: Breaker) -> None:
+    """Record that work ended without telling anything about the target."""
+    breaker.probing = False
+
+
+def on_failure(breaker: Breaker, now: float, random) -> None:
+    """Count a failure; open the breaker for a growing, jittered time after several in a row."""
+    breaker.failures += 1
+    breaker.probing = False
+    if breaker.failures < FAILURES_TO_OPEN:
+        return
+    seconds = min(MAX_OPEN_SECONDS, FIRST_OPEN_SECONDS * 2**breaker.opened)
+    breaker.opened += 1
+    breaker.open_until = now + seconds * random.uniform(0.75, 1.25)
--- /dev/null
+++ b/traystall/systems/deadlines.py
@@ -0,0 +1,48 @@
+"""Split one deadline over stages: latest start, patience with an attempt."""
+
+from traystall.systems.estimates import TimeTable
+from traystall.tables.entities import Pipeline
+
+# A stage is hopeless when less is left than nearly every call needs at least.
+OPTIMISTIC = 0.05
+TYPICAL = 0.5
+PESSIMISTIC = 0.99
+# Patience with a repeatable attempt, as a multiple of the pessimistic time.
+PATIENCE_FACTOR = 2.0
+_MIN_PATIENCE = 0.1
+_UNKNOWN_PATIENCE_SHARE = 0.5
+
+
+def least_time(times: TimeTable, pipeline: Pipeline, from_stage: int, now: float) -> float:
+    """Return the least seconds that the stages from `from_stage` on can need; 0 if unknown."""
+    total = 0.0
+    for stage in pipeline.stages[from_stage:]:
+        total += times.of(pipeline.name, stage.name, now).quantile(OPTIMISTIC) or 0.0
+    return total
+
+
+def typical_time(times: TimeTable, pipeline: Pipeline, from_stage: int, now: float) -> float:
+    """Return the seconds that the stages from `from_stage` on usually need; 0 if unknown."""
+    total = 0.0
+    for stage in pipeline.stages[from_stage:]:
+        total += times.of(pipeline.name, stage.name, now).quantile(TYPICAL) or 0.0
+    return total
+
+
+def latest_start(
+    times: TimeTable, pipeline: Pipeline, stage_index: int, deadline: float, now: float
+) -> float:
+    """Return the time after which starting the stage can't meet the deadline."""
+    return deadline - least_time(times, pipeline, stage_index, now)
+
+
+def patience(
+    times: TimeTable, pipeline: Pipeline, stage_index: int, deadline: float, now: float
+) -> float:
+    """Return how many seconds to wait for a repeatable attempt before trying another target."""
+    remaining = max(0.0, deadline - now)
+    stage = pipeline.stages[stage_index]
+    known = times.of(pipeline.name, stage.name, now).quantile(PESSIMISTIC)
+    if known is None:
+        return remaining * _UNKNOWN_PATIENCE_SHARE
+    return min(remaining, max(_MIN_PATIENCE, known * PATIENCE_FACTOR))
--- /dev/null
+++ b/traystall/systems/routing.py
@@ -0,0 +1,76 @@
+"""Choose the target of an attempt.
+
+The score of a target is (own work in flight + a small constant) times how
+long it takes compared with its pool. It scans all candidates and breaks ties
+at random. Reported load is late, so it never orders targets; it only keeps
+bulk work off a target that says it is full.
+"""
+
+import msgspec
+
+from traystall.systems.breakers import may_try
+from traystall.tables.entities import Customer, PriorityClass, Stage
+from traystall.tables.targets import TargetRow, TargetState
+
+IN_FLIGHT_OFFSET = 0.25
+# A report older than this is not used.
+REPORT_LIFETIME = 5.0
+# Quick work may exceed a target's slots by this factor before it waits at the gateway.
+QUICK_OVERCOMMIT = 2
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """Name the chosen row and why; `row` is None if no candidate can take work now."""
+
+    row: TargetRow | None
+    why: str
+    candidates: int
+
+
+def candidates(rows, customer: Customer, stage: Stage, excluded, now: float) -> list[TargetRow]:
+    """Return the rows that may take the stage at all, busy or not."""
+    return [
+        row
+        for row in rows
+        if row.state is TargetState.LIVE
+        and row.target.data_centre in customer.data_centres
+        and row.target.kind is stage.kind
+        and row.target.name not in excluded
+        and holds_model(row, stage)
+    ]
+
+
+def holds_model(row: TargetRow, stage: Stage) -> bool:
+    """Return whether the target holds the stage's model, or has not said what it holds."""
+    return not stage.model or not row.models or stage.model in row.models
+
+
+def has_room(row: TargetRow, priority: PriorityClass, now: float) -> bool:
+    """Return whether this gateway may put one more attempt of the class on the target."""
+    if now < row.not_before:
+        return False
+    if priority is PriorityClass.QUICK:
+        return row.total_in_flight < row.target.slots * QUICK_OVERCOMMIT
+    return row.bulk_in_flight < row.share
+
+
+def score(row: TargetRow) -> float:
+    """Return the cost of sending one more attempt to the target; lower is better."""
+    return (row.total_in_flight + IN_FLIGHT_OFFSET) * row.service_ratio
+
+
+def choose(found: list[TargetRow], priority: PriorityClass, now: float, random) -> Choice:
+    """Return the best of the candidates that have room."""
+    best: list[TargetRow] = []
+    best_score = float("inf")
+    for row in found:
+        if not has_room(row, priority, now) or not may_try(row.breaker, now):
+            continue
+        cost = score(row)
+        if cost < best_score:
+            best, best_score = [row], cost
+        elif cost == best_score:
+            best.append(row)
+    if not best:
+        return Choice(None, "no candidate has room" if found else "no candidate", len(found))
+    return Choice(random.choice(best), f"score {best_score:.3f}", len(found))
--- /dev/null
+++ b/traystall/systems/speeds.py
@@ -0,0 +1,31 @@
+"""Learn how long a target takes compared with others that run the same stage."""
+
+from traystall.tables.targets import TargetRow
+
+_WEIGHT = 0.2
+_MIN_RATIO = 0.25
+_MAX_RATIO = 20.0
+# A slow target that gets no work is believed to recover by half in this time.
+RECOVERY_SECONDS = 10.0
+
+
+def on_time(row: TargetRow, seconds: float, typical: float | None, now: float) -> None:
+    """Take in one observed time, given the typical one of the same stage."""
+    if not typical:
+        return
+    ratio = min(_MAX_RATIO, max(_MIN_RATIO, seconds / typical))
+    row.service_ratio += _WEIGHT * (ratio - row.service_ratio)
+    row.ratio_at = now
+
+
+def on_overdue(row: TargetRow, elapsed: float, typical: float | None, now: float) -> None:
+    """Take in that an attempt has taken `elapsed` and is not done: a lower bound only."""
+    if typical and elapsed / typical > row.service_ratio:
+        on_time(row, elapsed, typical, now)
+
+
+def decay(row: TargetRow, now: float) -> None:
+    """Let the ratio of an unused slow target drift back, so that it is tried again."""
+    if row.service_ratio > 1.0 and now - row.ratio_at > RECOVERY_SECONDS:
+        row.service_ratio = 1.0 + (row.service_ratio - 1.0) / 2
+        row.ratio_at = now
--- /dev/null
+++ b/traystall/tables/targets.py
@@ -0,0 +1,99 @@
+"""Running state of targets, as one gateway or control daemon sees it.
+
+Times are monotonic seconds of this process. Rows survive a new revision as
+long as the target keeps its name and address.
+"""
+
+from collections import Counter
+from enum import StrEnum
+
+import msgspec
+
+from traystall.tables.entities import PriorityClass, Target
+
+
+class TargetState(StrEnum):
+    """Name what is known of a target's presence."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Breaker(msgspec.Struct):
+    """Count failures in a row; while open, no work but one probe is sent."""
+
+    failures: int = 0
+    opened: int = 0
+    open_until: float = float("-inf")
+    probing: bool = False
+
+
+class ReportedLoad(msgspec.Struct):
+    """Hold a target's own report, which is late by its nature."""
+
+    running: int = 0
+    waiting: int = 0
+    at: float = float("-inf")
+
+
+class TargetRow(msgspec.Struct):
+    """Hold what is known of one target."""
+
+    target: Target
+    incarnation: str = ""
+    state: TargetState = TargetState.LIVE
+    in_flight: Counter = msgspec.field(default_factory=Counter)
+    # How long this target takes compared with its pool; 1.0 is as long.
+    service_ratio: float = 1.0
+    ratio_at: float = float("-inf")
+    breaker: Breaker = msgspec.field(default_factory=Breaker)
+    load: ReportedLoad = msgspec.field(default_factory=ReportedLoad)
+    not_before: float = float("-inf")
+    # Models that the target says it holds; empty means not known.
+    models: frozenset[str] = frozenset()
+    # Work other than quick that this gateway may have in flight here at once.
+    share: int = 1
+
+    @property
+    def total_in_flight(self) -> int:
+        """Return this gateway's attempts in flight at the target."""
+        return sum(self.in_flight.values())
+
+    @property
+    def bulk_in_flight(self) -> int:
+        """Return the attempts in flight that are not quick."""
+        return self.total_in_flight - self.in_flight[PriorityClass.QUICK]
+
+
+class TargetTable:
+    """Hold rows by target name, with an index by pool."""
+
+    def __init__(self):
+        self._rows: dict[str, TargetRow] = {}
+        self._pools: dict[str, list[TargetRow]] = {}
+
+    def replace(self, targets) -> None:
+        """Take over the targets of a revision, keeping the rows that still stand."""
+        rows = {}
+        for target in targets:
+            row = self._rows.get(target.name)
+            if row is None or row.target.address != target.address:
+                row = TargetRow(target)
+            row.target = target
+            rows[target.name] = row
+        self._rows = rows
+        self._pools = {}
+        for row in rows.values():
+            self._pools.setdefault(row.target.pool, []).append(row)
+
+    def get(self, name: str) -> TargetRow | None:
+        """Return the row of a target, or None."""
+        return self._rows.get(name)
+
+    def pool(self, name: str) -> list[TargetRow]:
+        """Return the rows of a pool."""
+        return self._pools.get(name, [])
+
+    def all(self) -> list[TargetRow]:
+        """Return every row."""
+        return list(self._rows.values())
