--- a/traystall/consensus/replica.py
+++ b/traystall/consensus/replica.py
@@ -188,12 +188,19 @@
         self._sync_progress()
         return self.log.last_index
 
-    def found_group(self, members, now: float) -> None:
-        """Write the first entry of a new group; only for a replica with an empty log."""
-        if self.log.last_index or self.term:
-            raise ConsensusError("Only a replica with no state can found a group.")
-        self._set_hard_state(HardState(term=1))
-        entry = LogEntry(index=1, term=1, kind=EntryKind.MEMBERS, command=encode_members(members))
+    def found_group(self, members, term: int, now: float) -> None:
+        """Write the first entry of a new group; only for a replica with an empty log.
+
+        `term` must be above every initial member's: an earlier founder that lost
+        its disk may have left votes, and its messages may still be on their way.
+        """
+        if self.log.last_index or term <= self.term:
+            raise ConsensusError(
+                "Only a replica with an empty log can found a group, in a new term."
+            )
+        self._set_hard_state(HardState(term=term))
+        command = encode_members(members)
+        entry = LogEntry(index=1, term=term, kind=EntryKind.MEMBERS, command=command)
         self._append_entries([entry])
         self._election_due = now
 
@@ -441,9 +448,9 @@
     def _sync_progress(self):
         """Keep one progress record for each other member, learners included."""
         others = {member.identity for member in self.members} - {self.identity}
-        for identity in others - set(self.progress):
+        for identity in sorted(others - set(self.progress)):
             self.progress[identity] = Progress(next_index=self.log.last_index + 1)
-        for identity in set(self.progress) - others:
+        for identity in sorted(set(self.progress) - others):
             del self.progress[identity]
 
     def _send_append(self, peer, now, heartbeat=False):
--- a/traystall/control/formation.py
+++ b/traystall/control/formation.py
@@ -1,8 +1,8 @@
 """First start of a group: found it once, and never by accident.
 
 A daemon with an empty data folder asks every initial member. Only if all of
-them answer that they are empty too, the one with the lowest name writes the
-first entry. If any has state, this daemon waits until an operator adds it.
+them answer that their logs are empty too, the one with the lowest name writes
+the first entry. If any has a log, this daemon waits until an operator adds it.
 """
 
 import asyncio
@@ -46,7 +46,8 @@
                 for m in initial
             ]
             logger.info("founding group", extra={"members": [m.identity for m in members]})
-            node.replica.found_group(members, clock.monotonic())
+            term = 1 + max(reply.term for reply in replies.values())
+            node.replica.found_group(members, term, clock.monotonic())
             node.pump()
             return
         await asyncio.sleep(_PROBE_SECONDS)
--- a/traystall/control/service.py
+++ b/traystall/control/service.py
@@ -67,7 +67,8 @@
         replica = self._node.replica
         return ttypes.ProbeReply(
             identity=replica.identity,
-            empty=replica.log.last_index == 0 and replica.term == 0,
+            empty=replica.log.last_index == 0,
+            term=replica.term,
             leader=self._node.leader_address(),
             members=[to_wire_member(member) for member in replica.members],
         )
--- a/traystall/rpc/gen/wire/ttypes.py
+++ b/traystall/rpc/gen/wire/ttypes.py
@@ -1801,6 +1801,7 @@
      - empty
      - leader
      - members
+     - term
 
     """
 
@@ -1809,14 +1810,16 @@
         'empty',
         'leader',
         'members',
+        'term',
     )
 
 
-    def __init__(self, identity=None, empty=None, leader=None, members=None,):
+    def __init__(self, identity=None, empty=None, leader=None, members=None, term=None,):
         self.identity = identity
         self.empty = empty
         self.leader = leader
         self.members = members
+        self.term = term
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1853,6 +1856,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1882,6 +1890,10 @@
                 iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 5)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4560,6 +4572,7 @@
     (2, TType.BOOL, 'empty', None, None, ),  # 2
     (3, TType.STRING, 'leader', 'UTF8', None, ),  # 3
     (4, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 4
+    (5, TType.I64, 'term', None, None, ),  # 5
 )
 all_structs.append(MembersRequest)
 MembersRequest.thrift_spec = (
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -84,7 +84,9 @@
 // ---- formation and members ----
 struct ProbeRequest { 1: string instance }
 struct Member { 1: string identity, 2: string address, 3: string data_centre, 4: bool voter }
-struct ProbeReply { 1: string identity, 2: bool empty, 3: string leader, 4: list<Member> members }
+struct ProbeReply {
+  1: string identity, 2: bool empty, 3: string leader, 4: list<Member> members, 5: i64 term
+}
 struct MembersRequest { 1: string action, 2: Member member, 3: string replaces, 4: string token }
 struct MembersReply { 1: list<Member> members, 2: string leader, 3: i64 commit, 4: map<string, i64> matched, 5: bool done }
 struct HandoverRequest { 1: string token }
