Prove what callers are told under every fault of an exchange with a target

Change: a matrix of 18 faults, from a closed port to an answer sent twice, for repeatable, unkeyed, keyed and marked requests, on one or both targets, with a resend of each keyed request; 14 faults of streams, whole and streamed; and scenarios of lost claims, dead claimants, late and concurrent resends.

--- /dev/null
+++ b/tests/gateway/test_fault_matrix.py
@@ -0,0 +1,271 @@
+"""Every fault at each step of an exchange with a target, for every kind of request.
+
+Invariants, checked in each cell: the caller gets one whole own answer or one
+typed refusal; "not-run" never follows a run; not-repeatable work runs at most
+once; nothing is seen outside the customer's places.
+"""
+
+import asyncio
+
+import pytest
+
+from tests.support.gateway_bench import (
+    ELSEWHERE,
+    PLACE,
+    GatewayBench,
+    engine_stage,
+    service_stage,
+)
+from tests.support.raw_target import RawTarget
+
+SINGLE_FAULTS = (
+    "none",
+    "no listener",
+    "closed on accept",
+    "reset after part of the request",
+    "refused not run",
+    "refused leaving",
+    "refused not run for another attempt",
+    "closed without an answer",
+    "reset without an answer",
+    "silent",
+    "answered late",
+    "failed",
+    "garbage",
+    "answered for another attempt",
+    "another attempt's body",
+    "truncated",
+    "not JSON",
+    "answered twice",
+)
+STREAM_FAULTS = (
+    "none",
+    "no listener",
+    "closed on accept",
+    "refused not run",
+    "closed without an answer",
+    "silent",
+    "failed",
+    "stream cut",
+    "stream ends early",
+    "stream stalls",
+    "token missing",
+    "tokens repeated",
+    "wrong count",
+    "no end mark",
+)
+# Faults after which the target surely has not run the request.
+SURELY_NOT_RUN = {"none", "no listener", "refused not run", "refused leaving"}
+KINDS = ("repeatable", "unkeyed", "keyed", "marked")
+RUN_STATES = {"not-run", "may-have-run", "ran"}
+
+
+def check_answer(status, document, mark, runs, repeatable):
+    """Check what must hold of any answer."""
+    if status == 200:
+        assert document["result"]["echo"] == mark
+        assert document["status"] == "complete"
+        assert runs
+    else:
+        assert document["run"] in RUN_STATES
+        if document["run"] == "not-run":
+            assert not runs
+    if not repeatable:
+        assert len(runs) <= 1
+
+
+async def run_cell(fault, kind, both):
+    """Run three requests against two targets, one or both of which misbehave at first."""
+    first = RawTarget("service", [fault])
+    second = RawTarget("service", [fault] if both and fault != "no listener" else [])
+    outside = RawTarget("service")
+    stage = service_stage(repeatable=kind in ("repeatable", "marked"))
+    targets = {("pool", PLACE): [first, second], ("pool", ELSEWHERE): [outside]}
+    headers = {"Traystall-Not-Repeatable": "true"} if kind == "marked" else {}
+    answers = []
+    async with GatewayBench(targets, [stage], deadline=1.2) as bench:
+        for number in range(3):
+            mark = f"mark{number}"
+            key = f"key{number}" if kind == "keyed" else ""
+            status, document = await bench.ask(mark, key, headers=headers)
+            own = f"{document['request']}."
+            runs = [r for r in first.runs + second.runs if r["attempt"].startswith(own)]
+            check_answer(status, document, mark, runs, kind == "repeatable")
+            answers.append((status, document))
+            if kind == "keyed":
+                await check_resend(bench, mark, key, status, document, (first, second))
+    assert not outside.seen
+    return answers
+
+
+async def check_resend(bench, mark, key, status, document, targets):
+    """A resend never runs the work again, and repeats a whole answer word for word."""
+    before = sum(len(t.runs) for t in targets)
+    again, second = await bench.ask(mark, key)
+    after = sum(len(t.runs) for t in targets)
+    if status == 200:
+        assert (again, after) == (200, before)
+        assert second["result"] == document["result"]
+    elif document["run"] != "not-run":
+        assert (again, after) == (409, before)
+        assert second["run"] == "may-have-run"
+    keys = [r["key"] for t in targets for r in t.runs]
+    assert keys.count(key) <= 1
+
+
+@pytest.mark.parametrize("both", [False, True], ids=["one", "both"])
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("fault", SINGLE_FAULTS)
+def test_single_answers(fault, kind, both):
+    answers = asyncio.run(run_cell(fault, kind, both))
+    if fault == "refused leaving" and both:
+        # Every target is leaving, and none may get new work.
+        assert [(d["code"], d["run"]) for _, d in answers] == [("no-target", "not-run")] * 3
+    elif fault in SURELY_NOT_RUN or (kind == "repeatable" and not both):
+        # Nothing is in doubt, or running again is safe: everybody must get the whole answer.
+        assert [status for status, _ in answers] == [200] * 3, answers
+
+
+@pytest.mark.parametrize("both", [False, True], ids=["one", "both"])
+@pytest.mark.parametrize("stream", [False, True], ids=["whole", "streamed"])
+@pytest.mark.parametrize("fault", STREAM_FAULTS)
+def test_streamed_answers(fault, stream, both):
+    asyncio.run(run_stream_cell(fault, stream, both))
+
+
+async def run_stream_cell(fault, stream, both):
+    first = RawTarget("engine", [fault])
+    second = RawTarget("engine", [fault] if both and fault != "no listener" else [])
+    targets = {("pool", PLACE): [first, second], ("pool", ELSEWHERE): [RawTarget("engine")]}
+    async with GatewayBench(targets, [engine_stage()], deadline=1.2) as bench:
+        for number in range(3):
+            mark = f"mark{number}:"
+            whole = [f"{mark}{index} " for index in range(6)]
+            status, document = await bench.ask(mark, stream=stream)
+            if status == 200:
+                assert document["result"]["text"] == "".join(whole)
+                if stream:
+                    assert document["streamed"] == whole
+                    assert document["count"] == 6
+            else:
+                assert document["run"] in RUN_STATES
+                # Only an engine that says nothing may use up the deadline.
+                assert fault in ("silent", "stream stalls") or both, document
+    assert not targets["pool", ELSEWHERE][0].seen
+
+
+def test_resume_on_engines_that_repeat_tokens():
+    """Both engines cut the stream, then send again what is already held."""
+
+    async def scenario():
+        script = ["stream cut", "tokens repeated"]
+        targets = {("pool", PLACE): [RawTarget("engine", list(script)) for _ in range(2)]}
+        async with GatewayBench(targets, [engine_stage()]) as bench:
+            status, document = await bench.ask("mark:", stream=True)
+            assert status == 200
+            assert document["streamed"] == [f"mark:{index} " for index in range(6)]
+
+    asyncio.run(scenario())
+
+
+def test_claim_answer_lost_is_never_dispatched():
+    """The claim is committed but its answer lost: nothing runs, and the key is given back."""
+
+    async def scenario():
+        target = RawTarget("service")
+        stage = service_stage(repeatable=False)
+        async with GatewayBench({("pool", PLACE): [target]}, [stage], deadline=0.5) as bench:
+            bench.ledger.mode = "answer lost"
+            status, document = await bench.ask("mark", "key")
+            assert (status, document["run"], target.runs) == (503, "not-run", [])
+            assert len(bench.ledger.released) == 1
+            bench.ledger.mode = "ok"
+            assert (await bench.ask("mark", "key"))[0] == 200
+            assert len(target.runs) == 1
+
+    asyncio.run(scenario())
+
+
+def test_ledger_unavailable_refuses_keyed_work_only():
+    async def scenario():
+        target = RawTarget("service")
+        stage = service_stage(repeatable=False)
+        async with GatewayBench({("pool", PLACE): [target]}, [stage]) as bench:
+            bench.ledger.mode = "unavailable"
+            status, document = await bench.ask("mark", "key")
+            assert (status, document["run"], target.runs) == (503, "not-run", [])
+            assert (await bench.ask("mark"))[0] == 200
+
+    asyncio.run(scenario())
+
+
+def test_claim_of_a_dead_gateway_is_never_run_again():
+    async def scenario():
+        target = RawTarget("service", ["reset without an answer"])
+        stage = service_stage(repeatable=False)
+        async with GatewayBench({("pool", PLACE): [target]}, [stage]) as bench:
+            assert (await bench.ask("mark", "key"))[1]["run"] == "may-have-run"
+            bench.ledger.alive = False
+            status, document = await bench.ask("mark", "key")
+            assert (status, document["code"]) == (409, "claim-held")
+            assert len(target.runs) == 1
+
+    asyncio.run(scenario())
+
+
+def test_same_key_with_another_body_is_refused():
+    async def scenario():
+        target = RawTarget("service")
+        stage = service_stage(repeatable=False)
+        async with GatewayBench({("pool", PLACE): [target]}, [stage]) as bench:
+            assert (await bench.ask("one", "key"))[0] == 200
+            status, document = await bench.ask("two", "key")
+            assert (status, document["code"]) == (422, "key-mismatch")
+            assert len(target.runs) == 1
+
+    asyncio.run(scenario())
+
+
+def test_concurrent_resends_run_once():
+    async def scenario():
+        target = RawTarget("service", ["answered late"])
+        stage = service_stage(repeatable=False)
+        async with GatewayBench({("pool", PLACE): [target]}, [stage]) as bench:
+            answers = await asyncio.gather(*(bench.ask("mark", "key") for _ in range(5)))
+            assert [status for status, _ in answers] == [200] * 5
+            assert len(target.runs) == 1
+
+    asyncio.run(scenario())
+
+
+def test_late_answer_of_claimed_work_waits_for_the_resend():
+    """The caller's deadline passes while the work runs: it goes on, and a resend gets it."""
+
+    async def scenario():
+        target = RawTarget("service", ["answered late"])
+        stage = service_stage(repeatable=False)
+        async with GatewayBench({("pool", PLACE): [target]}, [stage], deadline=0.3) as bench:
+            status, document = await bench.ask("mark", "key")
+            assert (status, document["run"]) == (503, "may-have-run")
+            await bench.front.drain(5.0)
+            status, document = await bench.ask("mark", "key")
+            assert (status, document["result"]["echo"]) == (200, "mark")
+            assert len(target.runs) == 1
+
+    asyncio.run(scenario())
+
+
+def test_crossed_requests_each_get_their_own():
+    """Many at once over few targets with faults among them: no answer is another's."""
+
+    async def scenario():
+        faults = ["answered for another attempt", "truncated", "answered twice", "none"] * 5
+        targets = [RawTarget("service", list(faults)), RawTarget("service", list(faults))]
+        async with GatewayBench({("pool", PLACE): targets}, [service_stage()]) as bench:
+            marks = [f"mark{number}" for number in range(60)]
+            answers = await asyncio.gather(*(bench.ask(mark) for mark in marks))
+            for mark, (status, document) in zip(marks, answers, strict=True):
+                assert status != 200 or document["result"]["echo"] == mark
+            assert sum(status == 200 for status, _ in answers) >= 50
+
+    asyncio.run(scenario())
