--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -142,6 +142,7 @@
         gateway_flags=(),
         log_level="info",
         folder=None,
+        variant=None,
     ):
         self.folder = Path(folder or tempfile.mkdtemp(prefix="traystall-"))
         self.documents = self._read(bundle)
@@ -157,6 +158,7 @@
         self._control_flags = list(control_flags)
         self._gateway_flags = list(gateway_flags)
         self._log_level = log_level
+        self._variant = variant
         self._seconds = seconds or {}
         self._solo = set(solo)
         self._make_fakes()
@@ -370,11 +372,15 @@
             }
             words = [f"--{flag}={value}" for flag, value in flags.items()]
             name = f"gateway-{number + 1}"
+            program = "traystall.gateway.daemon"
+            if self._variant is not None:
+                program = "tests.support.variant_gateway"
             self.gateway_addresses.append(address)
             self.gateways.append(
                 Process(
                     name,
-                    ["traystall.gateway.daemon", *words, *self._gateway_flags],
+                    [program, *words, *self._gateway_flags],
                     self.folder / f"{name}.log",
+                    {"VARIANT": self._variant or ""},
                 )
             )
--- a/tests/support/fake_targets.py
+++ b/tests/support/fake_targets.py
@@ -44,6 +44,7 @@
     """Say how a fake misbehaves; the defaults behave."""
 
     factor: float = 1.0
+    load_delay: float = 0.0
     fail: int = 0
     silent: bool = False
     leaving: bool = False
@@ -102,7 +103,7 @@
         self.orders: list[dict] = []
         self.fence = (0, 0)
         self.models = list(spec.models)
-        self.busy = 0.0
+        self.busy: dict[str, float] = {}
         self.cancelled = 0
         self.reported = (0, 0)
 
@@ -132,7 +133,7 @@
         """Refresh the published load late, as real engines do."""
         while True:
             now = (self.slots.count - self.slots.free, self.slots.waiting)
-            await asyncio.sleep(self.spec.load_delay)
+            await asyncio.sleep(self.mode.load_delay or self.spec.load_delay)
             self.reported = now
 
     async def order(self, request):
@@ -193,7 +194,9 @@
             self.cancelled += 1
             raise
         finally:
-            self.busy += asyncio.get_running_loop().time() - started
+            owner = request.headers.get(ATTEMPT_HEADER, "").split(".")[0]
+            seconds = asyncio.get_running_loop().time() - started
+            self.busy[owner] = self.busy.get(owner, 0.0) + seconds
             self.slots.release()
 
     def _record(self, request, body):
--- a/tests/support/gateway_bench.py
+++ b/tests/support/gateway_bench.py
@@ -28,7 +28,6 @@
     data_centre = PLACE
     rpc_listen = "127.0.0.1:1"
     index = 0
-    bulk_depth = 1.0
 
 
 class FakeLedger:
--- /dev/null
+++ b/tests/support/variant_gateway.py
@@ -0,0 +1,113 @@
+"""A gateway with a mechanism left out, or with naive decisions throughout.
+
+The names of what to leave out come in the environment variable VARIANT, comma
+separated. The daemon itself is the real one; only decisions are replaced.
+"""
+
+import itertools
+import os
+
+from traystall.gateway import daemon, stages
+from traystall.systems import admission, breakers, deadlines, routing, shares, speeds, windows
+from traystall.systems import queues as queues_module
+from traystall.systems.retries import FailureKind
+
+NAIVE_RETRIES = 3
+
+
+def without_shares():
+    """Send bulk work to targets without any share."""
+    routing.has_room = lambda row, priority, now: now >= row.not_before
+
+
+def without_quick_slot():
+    """Keep no slot for quick work."""
+    shares.kept_targets = lambda targets, has_quick_work, quick_slots: frozenset()
+
+
+def without_windows():
+    """Never exceed the dealt share."""
+    windows.on_time = lambda row, seconds, least, was_limited: None
+
+
+def without_giving_up():
+    """Let a generation run on until the deadline itself."""
+    deadlines.is_hopeless = lambda elapsed, done, left, remaining: False
+
+
+def without_drop():
+    """Let work wait until its deadline, however little is left."""
+    deadlines.least_time = lambda times, pipeline, from_stage, now: 0.0
+    admission.least_time = deadlines.least_time
+    deadlines.likely_time = deadlines.least_time
+
+
+def without_ratio():
+    """Take every target for equally fast."""
+    speeds.on_time = lambda row, seconds, typical, now: None
+
+
+def without_breaker():
+    """Send work to targets however often they fail."""
+    breakers.on_failure = lambda breaker, now, random: None
+
+
+def without_patience():
+    """Wait for each attempt until the deadline."""
+    deadlines.patience = lambda times, pipeline, index, deadline, now: max(0.0, deadline - now)
+
+
+def without_classes():
+    """Serve work in the order of its arrival."""
+    from traystall.gateway import dispatch
+
+    queues_module.order = lambda waiters, clock: sorted(waiters, key=lambda w: w.since)
+    dispatch.order = queues_module.order
+
+
+def naive():
+    """Round robin, first in first out, three immediate retries, no admission."""
+    without_shares()
+    without_drop()
+    without_giving_up()
+    without_ratio()
+    without_breaker()
+    without_patience()
+    without_classes()
+    turn = itertools.count()
+
+    def choose(found, priority, now, random):
+        row = found[next(turn) % len(found)] if found else None
+        return routing.Choice(row, "round robin", len(found))
+
+    def may_retry(kind, repeatable, attempts, budget, remaining):
+        safe = kind is FailureKind.NOT_RUN or repeatable
+        return safe and attempts <= NAIVE_RETRIES and remaining > 0
+
+    routing.choose = choose
+    stages.retries.may_retry = may_retry
+
+
+VARIANTS = {
+    "naive": naive,
+    "shares": without_shares,
+    "quick_slot": without_quick_slot,
+    "windows": without_windows,
+    "giving_up": without_giving_up,
+    "drop": without_drop,
+    "ratio": without_ratio,
+    "breaker": without_breaker,
+    "patience": without_patience,
+    "classes": without_classes,
+}
+
+
+def main():
+    """Apply the variants and run the daemon."""
+    for name in filter(None, os.environ.get("VARIANT", "").split(",")):
+        VARIANTS[name]()
+    daemon.main()
+
+
+if __name__ == "__main__":
+    main()
--- a/traystall/gateway/context.py
+++ b/traystall/gateway/context.py
@@ -10,13 +10,13 @@
 from traystall.gateway.results import ResultStore
 from traystall.gateway.settings import Settings
 from traystall.rpc.client import LinkPool
-from traystall.systems import shares, speeds
+from traystall.systems import loads, shares, speeds
 from traystall.systems.estimates import TimeTable
 from traystall.systems.limits import Limiter
 from traystall.systems.place import is_allowed
 from traystall.systems.retries import RetryBudget
 from traystall.tables.configuration import ConfigurationTables
-from traystall.tables.entities import Kind
+from traystall.tables.entities import PriorityClass
 from traystall.tables.targets import TargetTable
 
 
@@ -43,6 +43,7 @@
         self.limiter = Limiter()
         self.results = ResultStore()
         self.retry_budget = RetryBudget()
+        self._quick_pools: set[str] = set()
         self.dispatcher = Dispatcher(self.targets, self.random)
         follower.on_change.append(self.on_configuration)
 
@@ -59,6 +60,12 @@
     def on_configuration(self) -> None:
         """Adapt targets, shares and kept results to a new revision or directory."""
         self.targets.replace(self.tables.targets())
+        self._quick_pools = {
+            stage.pool
+            for pipeline in self.tables.pipelines()
+            if pipeline.priority is PriorityClass.QUICK
+            for stage in pipeline.stages
+        }
         self.results.purge(self._may_keep)
         self._deal_shares()
         self.dispatcher.assign_all()
@@ -68,6 +75,8 @@
         now = clock.monotonic()
         for row in self.targets.all():
             speeds.decay(row, now)
+            loads.fold_quick(row, now)
+        self._deal_shares()
         self.dispatcher.assign_all()
 
     def _may_keep(self, name):
@@ -77,15 +86,16 @@
     def _deal_shares(self):
         gateways = [row.identity for row in self.follower.directory if row.state == "serving"]
         for pool in {row.target.pool for row in self.targets.all()}:
-            rows = self.targets.pool(pool)
-            self._deal_pool(rows, gateways)
+            self._deal_pool(self.targets.pool(pool), gateways)
 
     def _deal_pool(self, rows, gateways):
         targets = [row.target for row in rows]
-        if targets[0].kind is not Kind.ENGINE:
-            for row in rows:
-                row.share = row.target.slots
-            return
-        dealt = shares.deal(targets, gateways, self.identity, self.settings.bulk_depth)
+        quick_slots = sum(row.quick_load for row in rows) * max(1, len(gateways))
+        has_quick_work = targets[0].pool in self._quick_pools
+        kept = shares.kept_targets(targets, has_quick_work, quick_slots)
+        dealt = shares.deal(targets, gateways, self.identity, kept)
         for row in rows:
-            row.share = dealt[row.target.name]
+            share = dealt[row.target.name]
+            row.share = share.bulk
+            row.keeps_quick_slot = share.kept
+            row.may_exceed_share = not has_quick_work
--- a/traystall/gateway/settings.py
+++ b/traystall/gateway/settings.py
@@ -17,7 +17,6 @@
     Setting("drain_notice", float, "Seconds to keep accepting after a stop signal.", "2.0"),
     Setting("drain_limit", float, "Longest time in seconds to finish what is in flight.", "120.0"),
     Setting("max_body_bytes", int, "Largest request body that is accepted.", "1048576"),
-    Setting("bulk_depth", float, "Bulk work dealt to a target, as a multiple of slots.", "1.0"),
     Setting("log_level", str, "Lowest level that is logged.", "info"),
 )
 
@@ -29,7 +28,6 @@
     problems += check_addresses("control", settings.control)
     problems += check_addresses("neighbours", settings.neighbours)
     problems += check_positive("max_body_bytes", settings.max_body_bytes)
-    problems += check_positive("bulk_depth", settings.bulk_depth)
     if not settings.control:
         problems.append(
             Problem("settings.E030", "control is empty.", "Name at least one control daemon.")
--- a/traystall/systems/estimates.py
+++ b/traystall/systems/estimates.py
@@ -11,7 +11,7 @@
 _DIGITS = 2
 WINDOW_SECONDS = 30.0
 # Below this many samples an estimate is not used.
-MIN_SAMPLES = 16
+MIN_SAMPLES = 8
 
 
 class StageTimes:
--- a/traystall/systems/routing.py
+++ b/traystall/systems/routing.py
@@ -8,13 +8,14 @@
 
 import msgspec
 
+from traystall.systems import windows
 from traystall.systems.breakers import may_try
 from traystall.tables.entities import Customer, PriorityClass, Stage
 from traystall.tables.targets import TargetRow, TargetState
 
 IN_FLIGHT_OFFSET = 0.25
-# A report older than this is not used.
-REPORT_LIFETIME = 5.0
+# Added for quick work on a target that keeps no slot for it, where it may wait for bulk work.
+NO_KEPT_SLOT = 1.0
 # Quick work may exceed a target's slots by this factor before it waits at the gateway.
 QUICK_OVERCOMMIT = 2
 
@@ -51,12 +52,15 @@
         return False
     if priority is PriorityClass.QUICK:
         return row.total_in_flight < row.target.slots * QUICK_OVERCOMMIT
-    return row.bulk_in_flight < row.share
+    return row.bulk_in_flight < windows.allowance(row)
 
 
-def score(row: TargetRow) -> float:
+def score(row: TargetRow, priority: PriorityClass) -> float:
     """Return the cost of sending one more attempt to the target; lower is better."""
-    return (row.total_in_flight + IN_FLIGHT_OFFSET) * row.service_ratio
+    waiting = row.total_in_flight + IN_FLIGHT_OFFSET
+    if priority is PriorityClass.QUICK and not row.keeps_quick_slot:
+        waiting += NO_KEPT_SLOT
+    return waiting * row.service_ratio
 
 
 def choose(found: list[TargetRow], priority: PriorityClass, now: float, random) -> Choice:
@@ -66,7 +70,7 @@
     for row in found:
         if not has_room(row, priority, now) or not may_try(row.breaker, now):
             continue
-        cost = score(row)
+        cost = score(row, priority)
         if cost < best_score:
             best, best_score = [row], cost
         elif cost == best_score:
--- a/traystall/systems/shares.py
+++ b/traystall/systems/shares.py
@@ -1,36 +1,75 @@
-"""Divide the bulk slots of a pool's targets over the live gateways.
+"""Divide a pool's slots for bulk work over the live gateways, and keep some for quick work.
 
-One slot of each target that has more than one is kept for quick work. The
-rest are dealt out in turn, so that the parts of all gateways sum to the slots;
-a gateway that would get nothing from a pool gets one slot on one target.
+The slots are dealt out in turn, so that the parts of all gateways sum to the
+slots; a gateway that would get nothing gets one slot on one target. How many
+targets keep a slot free for quick work follows from how much quick work there
+is; where a pipeline of quick work is declared, at least one does in each data
+centre.
 """
 
+import math
+
+import msgspec
+
 from traystall.tables.entities import Target
 
-QUICK_SLOTS = 1
+# Slots kept for quick work, as a multiple of what quick work uses on average.
+QUICK_MARGIN = 2.0
+NEGLIGIBLE_SLOTS = 0.01
+
 
+class Share(msgspec.Struct, frozen=True):
+    """Hold a gateway's part of one target; `kept` says that a slot there is kept for quick."""
 
-def bulk_slots(target: Target) -> int:
-    """Return how many slots of the target bulk work may use."""
-    return max(1, target.slots - QUICK_SLOTS)
+    bulk: int
+    kept: bool
 
 
-def deal(targets: list[Target], gateways: list[str], own: str, depth: float) -> dict[str, int]:
-    """Return the share of gateway `own` by target name.
+def kept_targets(targets: list[Target], has_quick_work: bool, quick_slots: float) -> frozenset[str]:
+    """Return the names of the targets that keep one slot for quick work.
 
-    `depth` above 1 deals out more than the slots, so that a target has its next
-    work at hand when it finishes one.
+    `has_quick_work` says that a declared pipeline sends quick work to the pool,
+    `quick_slots` how many slots it uses on average over the whole pool. The
+    number kept moves in powers of two, so that gateways whose measurements
+    differ a little agree.
     """
+    if not has_quick_work and quick_slots < NEGLIGIBLE_SLOTS:
+        return frozenset()
+    able = [target for target in targets if target.slots > 1]
+    places = {target.data_centre for target in able}
+    wanted = max(len(places), _power_of_two(quick_slots * QUICK_MARGIN))
+    return frozenset(target.name for target in _spread(able)[:wanted])
+
+
+def deal(
+    targets: list[Target], gateways: list[str], own: str, kept: frozenset[str]
+) -> dict[str, Share]:
+    """Return the share of gateway `own` by target name."""
     names = sorted(set(gateways) | {own})
     position = names.index(own)
-    shares = dict.fromkeys((target.name for target in targets), 0)
+    parts = dict.fromkeys((target.name for target in targets), 0)
     turn = 0
     for target in sorted(targets, key=lambda target: target.name):
-        for _ in range(max(1, round(bulk_slots(target) * depth))):
+        for _ in range(target.slots - (target.name in kept)):
             if turn % len(names) == position:
-                shares[target.name] += 1
+                parts[target.name] += 1
             turn += 1
-    if shares and not any(shares.values()):
-        fallback = sorted(shares)[position % len(shares)]
-        shares[fallback] = 1
-    return shares
+    if parts and not any(parts.values()):
+        fallback = sorted(parts)[position % len(parts)]
+        parts[fallback] = 1
+    return {name: Share(part, name in kept) for name, part in parts.items()}
+
+
+def _spread(targets):
+    """Return targets so that each data centre comes once before any comes twice."""
+    seen: dict[str, int] = {}
+    ranked = []
+    for target in sorted(targets, key=lambda target: target.name):
+        rank = seen.get(target.data_centre, 0)
+        seen[target.data_centre] = rank + 1
+        ranked.append((rank, target.name, target))
+    return [target for _, _, target in sorted(ranked, key=lambda item: item[:2])]
+
+
+def _power_of_two(value):
+    return 1 if value <= 1 else 2 ** math.ceil(math.log2(value))
--- a/traystall/tables/targets.py
+++ b/traystall/tables/targets.py
@@ -53,6 +53,14 @@
     models: frozenset[str] = frozenset()
     # Work other than quick that this gateway may have in flight here at once.
     share: int = 1
+    # What it may have beyond its share, as long as the target keeps up.
+    extra: float = 0.0
+    may_exceed_share: bool = False
+    # Whether one slot of the target is kept free of bulk work.
+    keeps_quick_slot: bool = False
+    # Average number of this gateway's quick attempts in flight, and when it was last folded in.
+    quick_load: float = 0.0
+    quick_load_at: float = float("-inf")
 
     @property
     def total_in_flight(self) -> int:
