Prove claims and configuration on real processes

Found, each now held by a test that failed first: - A gateway answered a plain 500 while the leader died: the event loop raises RuntimeError on a write to a transport that it has just closed. It is now a broken link, and whatever else escapes is a problem+json that says may-have-run. - Random bytes on a link could raise OverflowError out of the decoder (fuzzing). - A follower answered `status` for the whole system as if nobody led. - Without any control daemon a keyed request was answered only at its deadline; a claim now has 80 % of the time left, then the answer is ledger-unavailable.

Ruled out: an election that never ended after 300 changes. The second daemon led at once; only the status came from the third.

--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -338,6 +338,10 @@
             "http-listen": http_address,
             "data-folder": str(self.folder / f"data-{name}"),
             "initial-members": initial,
+            "initial-places": ",".join(
+                f"control-{n + 1}={self.places[n % len(self.places)]}"
+                for n in range(len(self.control_addresses))
+            ),
             "log-level": self._log_level,
         }
         words = [f"--{flag}={value}" for flag, value in flags.items()]
--- a/traystall/control/service.py
+++ b/traystall/control/service.py
@@ -112,6 +112,9 @@
     async def _status(self, request):
         self._require_operator(request.token)
         replica = self._node.replica
+        if not replica.is_leader and self._node.is_fresh():
+            # Cut off from a leader, this daemon answers with what it knows itself.
+            raise NoLeader(self._node.leader_address())
         catalog = self._node.state.catalog
         unsettled = self._node.state.ledger.unsettled()
         doubtful = [
--- a/traystall/gateway/front.py
+++ b/traystall/gateway/front.py
@@ -55,16 +55,24 @@
                 response.force_close()
             return response
         except Refusal as refusal:
-            run = refusal.run or RunState.NOT_RUN
-            self._count(request.match_info["pipeline"], refusal.problem.code)
-            decision("refuse", code=refusal.problem.code, run=run.value, why=refusal.detail)
-            response = answers.problem_response(refusal, run)
-            # A body that was not read must not be taken for the next request.
-            response.force_close()
-            return response
+            return self._refuse(request, refusal)
+        except Exception:
+            # A fault of this program: the log says what, the caller gets a truthful answer.
+            logger.exception("request failed")
+            refusal = Refusal(problems.INTERNAL, run=RunState.MAY_HAVE_RUN)
+            return self._refuse(request, refusal)
         finally:
             self.in_flight -= 1
 
+    def _refuse(self, request, refusal):
+        run = refusal.run or RunState.NOT_RUN
+        self._count(request.match_info["pipeline"], refusal.problem.code)
+        decision("refuse", code=refusal.problem.code, run=run.value, why=refusal.detail)
+        response = answers.problem_response(refusal, run)
+        # A body that was not read must not be taken for the next request.
+        response.force_close()
+        return response
+
     async def explain(self, request: web.Request) -> web.Response:
         """Return where a recent request's stages ran and why; no payload."""
         row = self._explained.get(request.match_info["request"])
--- a/traystall/gateway/problems.py
+++ b/traystall/gateway/problems.py
@@ -34,6 +34,7 @@
 LEDGER_UNAVAILABLE = Problem(503, "ledger-unavailable", "Keyed work can't be claimed now.")
 CLAIM_HELD = Problem(409, "claim-held", "The key's work is claimed and its outcome unknown.")
 RESULT_GONE = Problem(410, "result-gone", "The work ran; its answer is no longer held.")
+INTERNAL = Problem(500, "internal", "This gateway failed; its log says why.")
 
 
 class Refusal(Exception):
--- a/traystall/gateway/runner.py
+++ b/traystall/gateway/runner.py
@@ -25,6 +25,8 @@
 
 # Claimed work goes on this long after its caller has had an answer, in seconds.
 LINGER_SECONDS = 60.0
+# A claim may take this share of the time left, since the work itself needs some.
+_CLAIM_SHARE = 0.8
 _HOLDERS_WANTED = 2
 _HOLD_SECONDS = 0.5
 _HELD_POLL_SECONDS = 0.2
@@ -96,9 +98,9 @@
             stage=stage.name,
         )
         while True:
-            remaining = row.deadline - clock.monotonic()
+            seconds = (row.deadline - clock.monotonic()) * _CLAIM_SHARE
             try:
-                reply = await self._context.ledger.claim(request, remaining)
+                reply = await self._context.ledger.claim(request, seconds)
             except LedgerUnavailable as error:
                 if error.in_doubt:
                     self._release(row)
--- a/traystall/rpc/client.py
+++ b/traystall/rpc/client.py
@@ -52,12 +52,9 @@
     async def send(self, message) -> None:
         """Send a one-way message; drop it quietly if the peer is slow to take bytes."""
         await self._ensure_open()
-        if self._writer.transport.get_write_buffer_size() > _MAX_UNSENT_BYTES:
-            return
         method = METHOD_OF_REQUEST[type(message)]
-        write_frame(
-            self._writer, Frame(call_id=0, method=method, reply=False, body=encode(message))
-        )
+        frame = Frame(call_id=0, method=method, reply=False, body=encode(message))
+        self._write(frame, droppable=True)
 
     async def close(self) -> None:
         """Close the link; pending calls fail."""
@@ -73,7 +70,7 @@
         self._pending[call_id] = future
         try:
             frame = Frame(call_id=call_id, method=method, reply=False, body=encode(request))
-            write_frame(self._writer, frame)
+            self._write(frame)
             reply = await future
         finally:
             self._pending.pop(call_id, None)
@@ -81,6 +78,18 @@
             raise RpcRefused(reply.error, reply.detail or "")
         return decode(REPLY_TYPES[method], reply.body)
 
+    def _write(self, frame, droppable=False):
+        """Queue a frame; leave a droppable one out if the peer is slow to take bytes."""
+        try:
+            if droppable and self._writer.transport.get_write_buffer_size() > _MAX_UNSENT_BYTES:
+                return
+            write_frame(self._writer, frame)
+        except (RuntimeError, AttributeError, OSError) as error:
+            # The event loop has closed the transport, but the reader has not yet noticed.
+            unavailable = RpcUnavailable(f"The link to {self.address} broke.")
+            self._drop(unavailable)
+            raise unavailable from error
+
     async def _ensure_open(self):
         if self._writer is not None:
             return
--- a/traystall/rpc/messages.py
+++ b/traystall/rpc/messages.py
@@ -12,6 +12,8 @@
 _factory = TCompactProtocolAcceleratedFactory()
 
 PROTOCOL_VERSION = 1
+# What the decoders of the library raise on bytes that are no message.
+_DECODE_ERRORS = (TException, EOFError, ValueError, TypeError, OverflowError, MemoryError)
 
 REQUEST_TYPES = {
     Method.HELLO: ttypes.Hello,
@@ -63,6 +65,6 @@
     message = kind()
     try:
         message.read(_factory.getProtocol(TMemoryBuffer(data)))
-    except (TException, EOFError, ValueError, TypeError, UnicodeDecodeError) as error:
+    except _DECODE_ERRORS as error:
         raise RpcError(f"A frame could not be decoded as {kind.__name__}: {error}.") from error
     return message
--- a/traystall/rpc/server.py
+++ b/traystall/rpc/server.py
@@ -1,6 +1,7 @@
 """Accept links from other traystall processes and hand their messages to a handler."""
 
 import asyncio
+import contextlib
 import logging
 
 from traystall.core.exceptions import RpcError, RpcRefused
@@ -89,5 +90,7 @@
             logger.exception("call failed")
             reply.error = "internal"
             reply.detail = type(error).__name__
-        write_frame(writer, reply)
-        await writer.drain()
+        # The peer may have gone meanwhile; it then asks again over a new link.
+        with contextlib.suppress(RuntimeError, OSError):
+            write_frame(writer, reply)
+            await writer.drain()
