--- a/traystall/gateway/dispatch.py
+++ b/traystall/gateway/dispatch.py
@@ -54,7 +54,7 @@
 
     def release(self, row: TargetRow, priority: PriorityClass) -> None:
         """Give a slot back and hand it to whoever waits."""
-        row.in_flight[priority] -= 1
+        row.give_back(priority)
         self.assign(row.target.pool)
 
     def assign(self, pool: str) -> None:
@@ -82,7 +82,7 @@
         choice = routing.choose(found, waiter, now, self._random)
         if choice.row is None:
             return
-        choice.row.in_flight[waiter.priority] += 1
+        choice.row.take(waiter.priority)
         breakers.on_sent(choice.row.breaker)
         self._fair.charge(waiter.customer)
         decision(
--- a/traystall/systems/routing.py
+++ b/traystall/systems/routing.py
@@ -33,15 +33,15 @@
 
 def candidates(rows, customer: Customer, stage: Stage, excluded, now: float) -> list[TargetRow]:
     """Return the rows that may take the stage at all, busy or not."""
-    return [
-        row
-        for row in rows
-        if row.state is TargetState.LIVE
-        and row.target.data_centre in customer.data_centres
-        and row.target.kind is stage.kind
-        and row.target.name not in excluded
-        and holds_model(row, stage)
-    ]
+    places = customer.data_centres
+    found = []
+    for row in rows:
+        target = row.target
+        if row.state is not TargetState.LIVE or target.data_centre not in places:
+            continue
+        if target.kind is stage.kind and target.name not in excluded and holds_model(row, stage):
+            found.append(row)
+    return found
 
 
 def holds_model(row: TargetRow, stage: Stage) -> bool:
@@ -79,11 +79,11 @@
     best: list[TargetRow] = []
     best_score = float("inf")
     for row in found:
-        if not has_room(row, priority, now) or not may_try(row.breaker, now):
+        cost = score(row, priority)
+        if cost > best_score or not has_room(row, priority, now):
             continue
-        if not can_finish(row, waiter, now):
+        if not may_try(row.breaker, now) or not can_finish(row, waiter, now):
             continue
-        cost = score(row, priority)
         if cost < best_score:
             best, best_score = [row], cost
         elif cost == best_score:
--- a/traystall/tables/targets.py
+++ b/traystall/tables/targets.py
@@ -4,7 +4,6 @@
 long as the target keeps its name and address.
 """
 
-from collections import Counter
 from enum import StrEnum
 
 import msgspec
@@ -42,7 +41,9 @@
     target: Target
     incarnation: str = ""
     state: TargetState = TargetState.LIVE
-    in_flight: Counter = msgspec.field(default_factory=Counter)
+    # This gateway's attempts in flight: quick ones, and all others.
+    quick_in_flight: int = 0
+    bulk_in_flight: int = 0
     # How long this target takes compared with its pool; 1.0 is as long.
     service_ratio: float = 1.0
     ratio_at: float = float("-inf")
@@ -62,15 +63,24 @@
     quick_load: float = 0.0
     quick_load_at: float = float("-inf")
 
+    def take(self, priority: PriorityClass) -> None:
+        """Count one more attempt in flight."""
+        if priority is PriorityClass.QUICK:
+            self.quick_in_flight += 1
+        else:
+            self.bulk_in_flight += 1
+
+    def give_back(self, priority: PriorityClass) -> None:
+        """Count one attempt less in flight."""
+        if priority is PriorityClass.QUICK:
+            self.quick_in_flight -= 1
+        else:
+            self.bulk_in_flight -= 1
+
     @property
     def total_in_flight(self) -> int:
         """Return this gateway's attempts in flight at the target."""
-        return sum(self.in_flight.values())
-
-    @property
-    def bulk_in_flight(self) -> int:
-        """Return the attempts in flight that are not quick."""
-        return self.total_in_flight - self.in_flight[PriorityClass.QUICK]
+        return self.quick_in_flight + self.bulk_in_flight
 
 
 class TargetTable:
