Cancel unsent work at the deadline, and end daemons whose tasks die

At the deadline, unkeyed not-repeatable work that was still waiting for a slot was left to run on, although its caller was told that it did not run; a slot free in that moment would have dispatched it. And a background task that died of an unexpected error left a daemon that looked alive and followed nothing.

Change: work of which nothing was sent is always cancelled, and the answer is written after it has ended. A dead background task ends the daemon with exit code 1. A target's Retry-After counts for 30 s at most, and a state page that is no JSON object no longer ends the watch of presence.

Ruled out: answering later; a request given up on gets its answer at once.

--- a/traystall/control/daemon.py
+++ b/traystall/control/daemon.py
@@ -40,7 +40,6 @@
     def __init__(self, settings: Settings):
         super().__init__()
         self._settings = settings
-        self._tasks: list[asyncio.Task] = []
         self.node: Node | None = None
 
     async def start(self) -> None:
@@ -64,28 +63,22 @@
         await self._server.start()
         self.node.start()
         await self._start_http()
-        self._tasks = [
-            asyncio.create_task(self._form()),
-            asyncio.create_task(subscribers.share_forever()),
-            asyncio.create_task(self._orderer.run_forever()),
-        ]
+        self._background = daemon.Background()
+        self._background.start(self._form())
+        self._background.start(subscribers.share_forever())
+        self._background.start(self._orderer.run_forever())
         logger.info("started", extra={"identity": identity})
 
     async def until_stopped(self, stopping: asyncio.Event) -> None:
         """Return on a signal, after handing leadership over; raise if the disk fails."""
-        stop = asyncio.ensure_future(stopping.wait())
-        await asyncio.wait({stop, self.node.failed}, return_when=asyncio.FIRST_COMPLETED)
-        if self.node.failed.done():
-            stop.cancel()
-            self.node.failed.result()
+        await daemon.first_of(stopping, self.node.failed, self._background.failed)
         if self.node.replica.is_leader:
             with contextlib.suppress(ControlError, ConsensusError, RpcError):
                 await self._members.hand_over()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """End serving and close the data folder."""
-        for task in self._tasks:
-            task.cancel()
+        self._background.stop()
         await self._orderer.close()
         await self._server.stop()
         await self.node.stop()
--- a/traystall/control/node.py
+++ b/traystall/control/node.py
@@ -263,7 +263,14 @@
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._on_done)
+
+    def _on_done(self, task):
+        """Forget a task; one that died of an error ends the daemon."""
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None and not self.failed.done():
+            logger.critical("replica failed", exc_info=task.exception())
+            self.failed.set_exception(task.exception())
 
 
 def _fail(future, error):
--- a/traystall/gateway/adapters/http.py
+++ b/traystall/gateway/adapters/http.py
@@ -60,9 +60,12 @@
             async with self._fresh.get(url, timeout=timeout) as response:
                 if response.status != 200:
                     raise TargetFailed(response.status, url)
-                return await response.json(content_type=None)
+                document = await response.json(content_type=None)
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise TargetFailed(0, type(error).__name__) from error
+        if not isinstance(document, dict):
+            raise TargetFailed(200, "not a JSON object")
+        return document
 
     @asynccontextmanager
     async def post(self, call: Call, path: str, document: dict):
--- a/traystall/gateway/daemon.py
+++ b/traystall/gateway/daemon.py
@@ -37,7 +37,6 @@
         super().__init__()
         self._settings = settings
         self._identity = f"{settings.instance}/{new_id()}"
-        self._tasks: list[asyncio.Task] = []
         self._state = "serving"
 
     async def start(self) -> None:
@@ -63,15 +62,14 @@
         await self._server.start()
         await self._follower.take_highest()
         await self._start_http()
-        self._tasks = [
-            asyncio.create_task(self._follower.follow_forever()),
-            asyncio.create_task(PresenceWatcher(self._context).watch_forever()),
-        ]
+        self._background = daemon.Background()
+        self._background.start(self._follower.follow_forever())
+        self._background.start(PresenceWatcher(self._context).watch_forever())
         logger.info("started", extra={"identity": self._identity})
 
     async def until_stopped(self, stopping: asyncio.Event) -> None:
         """Wait for a signal, then drain: nothing in flight is cut."""
-        await stopping.wait()
+        await daemon.first_of(stopping, self._background.failed)
         logger.info("draining", extra={"in_flight": self._front.in_flight})
         self._state = "draining"
         self._front.draining = True
@@ -82,8 +80,7 @@
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close every connection."""
-        for task in self._tasks:
-            task.cancel()
+        self._background.stop()
         await self._runner.cleanup()
         await self._server.stop()
         await self._relay.close()
--- a/traystall/gateway/front.py
+++ b/traystall/gateway/front.py
@@ -167,9 +167,14 @@
         await asyncio.wait({task})
 
     def _must_finish(self, row):
-        """Return whether unkeyed not-repeatable work is under way: cutting it helps nobody."""
-        started = bool(row.stages)
-        return started and not row.is_repeatable(row.pipeline.stages[len(row.stages) - 1])
+        """Return whether unkeyed not-repeatable work is under way: cutting it helps nobody.
+
+        Work that has not been sent is always cancelled: the caller may be told
+        that it did not run, and then it must not.
+        """
+        if row.run_state is RunState.NOT_RUN or not row.stages:
+            return False
+        return not row.is_repeatable(row.pipeline.stages[len(row.stages) - 1])
 
     def _end_lingering(self, task):
         self._lingering.discard(task)
--- a/traystall/gateway/stages.py
+++ b/traystall/gateway/stages.py
@@ -27,6 +27,9 @@
 from traystall.tables.requests import RequestRow, StageRecord
 from traystall.tables.targets import TargetRow
 
+# A target's Retry-After is honoured up to this many seconds.
+MAX_RETRY_AFTER = 30.0
+
 
 class StageRun(msgspec.Struct):
     """Hold what one stage's attempts share."""
@@ -300,7 +303,7 @@
             report = membership.PresenceReport(target.target.name, True, first_hand=True)
             note_presence(target, report)
         elif error.retry_after is not None:
-            target.not_before = now + error.retry_after
+            target.not_before = now + min(error.retry_after, MAX_RETRY_AFTER)
         elif not error.sent:
             breakers.on_failure(target.breaker, now, self._context.random)
         return FailureKind.NOT_RUN
