Learn a slow engine's pace from its first tokens, and write the pages

Change: after eight tokens an attempt that is clearly late counts for the target's ratio. Operators' pages, topics, glossary, and reference pages made from the code with a test that compares them and one that checks the layers.

Ruled out: sharing learned ratios between gateways; not measured, not done.

A marked body and key appear in no log or metric of any daemon.

--- /dev/null
+++ b/tests/cli/test_reference.py
@@ -0,0 +1,57 @@
+"""The reference pages say what the code says, and packages depend downwards only."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+from traystall.cli.reference import PAGES
+
+ROOT = Path(__file__).resolve().parents[2]
+# Each package may import those below it in this list, and itself.
+LAYERS = (
+    "cli",
+    "gateway",
+    "control",
+    "systems",
+    "rpc",
+    "storage",
+    "ledger",
+    "catalog",
+    "consensus",
+    "tables",
+    "conf",
+    "core",
+)
+# The wire messages are generated data classes: every layer may use them.
+EVERYWHERE = "traystall.rpc.gen"
+# The client shows what the daemons declare.
+ALLOWED = {("gateway", "control"): False, ("control", "gateway"): False}
+
+
+@pytest.mark.parametrize("name", PAGES)
+def test_page_is_up_to_date(name):
+    assert (ROOT / "docs" / "reference" / name).read_text() == PAGES[name](), (
+        "run python -m traystall.cli.reference docs/reference"
+    )
+
+
+def imports_of(path):
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and (node.module or "").startswith("traystall."):
+            yield node.module
+
+
+def test_packages_depend_downwards_only():
+    wrong = []
+    for path in sorted((ROOT / "traystall").rglob("*.py")):
+        package = path.relative_to(ROOT / "traystall").parts[0]
+        if package not in LAYERS or "gen" in path.parts:
+            continue
+        for module in imports_of(path):
+            target = module.split(".")[1]
+            below = LAYERS.index(target) >= LAYERS.index(package)
+            if module.startswith(EVERYWHERE) or (below and ALLOWED.get((package, target), True)):
+                continue
+            wrong.append(f"{path.name}: {package} imports {target}")
+    assert wrong == []
--- a/tests/processes/test_thin_path.py
+++ b/tests/processes/test_thin_path.py
@@ -131,6 +131,25 @@
         assert "traystall_" in get(address, "/metrics")[1]
 
 
+def test_no_payload_or_key_in_any_log(cluster):
+    """Marked bodies and keys go through answers and failures; no log shows the mark."""
+    mark = "m4rk-7f3a"
+    for target in ("hive-reranker-2", "alert-push-2", "traystall-pool-2"):
+        cluster.set_mode(target, fail=500)
+    for gateway in range(3):
+        for pipeline in ("nightly-report", "swarm-warning", "no-such"):
+            body = {"input": mark, "max_tokens": 2}
+            cluster.ask(pipeline, "coop-hsinchu", body, gateway, f"{mark}-{gateway}")
+        cluster.ask("quick-reading", "coop-hsinchu", f'{{"input": "{mark}'.encode(), gateway)
+        cluster.ask("quick-reading", "apiary-longan", {"input": mark}, gateway)
+    for target in ("hive-reranker-2", "alert-push-2", "traystall-pool-2"):
+        cluster.set_mode(target)
+    for process in [*cluster.gateways, *cluster.controls]:
+        assert mark not in process.log()
+    for address in cluster.gateway_addresses:
+        assert mark not in get(address, "/metrics")[1]
+
+
 def test_single_deaths_leave_requests_answered(cluster):
     """Kill one target of each kind, one control daemon (the leader) and one gateway in turn."""
     for name in ONE_OF_EACH_KIND:
--- /dev/null
+++ b/traystall/cli/reference.py
@@ -0,0 +1,131 @@
+"""Render the reference pages from the code: settings, commands, problems, bundle.
+
+Run with: python -m traystall.cli.reference docs/reference
+"""
+
+import inspect
+import sys
+from pathlib import Path
+
+import msgspec
+
+from traystall.catalog.bundle import SECTIONS
+from traystall.cli.main import Traystall
+from traystall.cli.members import Members
+from traystall.control.settings import SETTINGS as CONTROL_SETTINGS
+from traystall.gateway import problems
+from traystall.gateway.settings import SETTINGS as GATEWAY_SETTINGS
+from traystall.tables.entities import ENTITY_TYPES
+
+_HEADER = "<!-- Made by python -m traystall.cli.reference; a test compares it. -->\n\n"
+
+
+def settings_page() -> str:
+    """Return the reference of both daemons' settings."""
+    lines = ["# Settings", ""]
+    programs = {"traystall-control": CONTROL_SETTINGS, "traystall-gateway": GATEWAY_SETTINGS}
+    for program, declared in programs.items():
+        lines += [
+            f"## {program}",
+            "",
+            "| flag | variable | default | meaning |",
+            "|---|---|---|---|",
+        ]
+        for setting in declared:
+            default = "required" if setting.default is None else f"`{setting.default}`"
+            lines.append(
+                f"| `{setting.flag}` | `{setting.variable}` | {default} | {setting.help} |"
+            )
+        lines.append("")
+    lines.append(
+        "A flag goes before a variable. `--print-settings` shows each value and its source."
+    )
+    lines.append("Unknown flags and unknown `TRAYSTALL_` variables are errors; exit code 2.")
+    return _HEADER + "\n".join(lines) + "\n"
+
+
+def commands_page() -> str:
+    """Return the reference of the client's commands."""
+    lines = ["# Commands", "", inspect.getdoc(Traystall), ""]
+    for owner, prefix in ((Traystall, "traystall"), (Members, "traystall members")):
+        for name, method in vars(owner).items():
+            if name.startswith("_"):
+                continue
+            words = [_parameter(p) for p in inspect.signature(method).parameters.values()]
+            shown = " ".join([prefix, name, *filter(None, words)])
+            lines += [f"## {prefix} {name}", "", f"`{shown}`", "", inspect.getdoc(method), ""]
+    lines += [
+        "## Exit codes",
+        "",
+        "0 done; 1 no control daemon reachable; 2 bad arguments or bundle;",
+    ]
+    lines += ["3 another content holds the number; 4 in doubt, or not yet in force; 5 refused."]
+    return _HEADER + "\n".join(lines) + "\n"
+
+
+def problems_page() -> str:
+    """Return the reference of the answers without a result."""
+    lines = ["# Problems", "", "| status | code | meaning |", "|---|---|---|"]
+    found = [value for value in vars(problems).values() if isinstance(value, problems.Problem)]
+    for problem in sorted(found, key=lambda p: (p.status, p.code)):
+        lines.append(f"| {problem.status} | `{problem.code}` | {problem.title} |")
+    lines += ["", "Each is `application/problem+json` with `run` and Retry-After. `run` is one of"]
+    lines += ["`not-run` (nothing ran), `may-have-run`, `ran` (it ran; its answer can't be given)."]
+    return _HEADER + "\n".join(lines) + "\n"
+
+
+def bundle_page() -> str:
+    """Return the reference of a bundle's sections and fields."""
+    lines = ["# Bundle", "", "A directory of YAML files; together they are one unit.", ""]
+    lines += ["`number`: the bundle's number; raise it with every change.", ""]
+    for section, kind in SECTIONS.items():
+        entity = ENTITY_TYPES[kind]
+        lines += [
+            f"## {section}",
+            "",
+            inspect.getdoc(entity),
+            "",
+            "| field | default |",
+            "|---|---|",
+        ]
+        for field in msgspec.structs.fields(entity):
+            lines.append(f"| `{field.name}` | {_default(field)} |")
+        lines.append("")
+    return _HEADER + "\n".join(lines).rstrip() + "\n"
+
+
+PAGES = {
+    "settings.md": settings_page,
+    "commands.md": commands_page,
+    "problems.md": problems_page,
+    "bundle.md": bundle_page,
+}
+
+
+def _parameter(parameter):
+    if parameter.name == "self":
+        return ""
+    if parameter.default is inspect.Parameter.empty:
+        return parameter.name.upper()
+    return f"[--{parameter.name}]"
+
+
+def _default(field):
+    if field.required:
+        return "required"
+    value = field.default
+    if isinstance(value, msgspec.Struct):
+        return "see below" if not msgspec.structs.asdict(value) else "no limits, share 1"
+    return f"`{value}`" if value != "" else "empty"
+
+
+def main() -> None:
+    """Write every page into the folder given as the first argument."""
+    folder = Path(sys.argv[1])
+    folder.mkdir(parents=True, exist_ok=True)
+    for name, render in PAGES.items():
+        (folder / name).write_text(render())
+
+
+if __name__ == "__main__":
+    main()
--- a/traystall/gateway/stages.py
+++ b/traystall/gateway/stages.py
@@ -51,6 +51,11 @@
         """Return the declared stage."""
         return self.row.pipeline.stages[self.index]
 
+    @property
+    def wanted_tokens(self) -> int:
+        """Return how many tokens an engine is asked for."""
+        return min(self.stage.max_tokens, self.body.get("max_tokens", self.stage.max_tokens))
+
     @property
     def repeatable(self) -> bool:
         """Return whether a doubtful attempt may be made again."""
@@ -165,7 +170,6 @@
     def _call(self, run, target, now) -> Call:
         row = run.row
         context = self._context
-        started_at = now
         after = deadlines.least_time(context.times, row.pipeline, run.index + 1, now)
         budget = run.run_until - after - now
         if run.repeatable and run.stage.kind is not Kind.ENGINE:
@@ -185,24 +189,27 @@
             key=row.key if not run.repeatable else "",
             on_sending=lambda: self._on_sending(row),
             on_headers=lambda headers: self._on_headers(target, headers),
-            on_token=lambda count, text: self._on_token(run, started_at, count, text),
+            on_token=lambda index, text: self._on_token(run, target, now, index, text),
             tokens=run.tokens,
         )
 
     def _on_sending(self, row):
         row.attempts_sent += 1
 
-    def _on_token(self, run, started_at, index, text):
-        """Pass a token on; give up as soon as the rest can't come in time."""
+    def _on_token(self, run, target, started_at, index, text):
+        """Pass a token on; learn from the pace, and give up if the rest can't come in time."""
         run.on_token(index, text)
         now = clock.monotonic()
-        fresh = index + 1 - run.resumed_from
-        wanted = min(run.stage.max_tokens, run.body.get("max_tokens", run.stage.max_tokens))
         elapsed = now - started_at
-        if deadlines.is_hopeless(elapsed, fresh, wanted - index - 1, run.run_until - now):
+        done = index + 1 - run.resumed_from
+        left = run.wanted_tokens - index - 1
+        times = self._context.times.of(run.row.pipeline.name, run.stage.name, now)
+        projected = elapsed / done * (done + left)
+        if done == deadlines.MIN_TOKENS_OF_EVIDENCE:
+            speeds.on_overdue(target, projected, times.quantile(deadlines.TYPICAL), now)
+        if deadlines.is_hopeless(elapsed, done, left, run.run_until - now):
             # What is given up counts as well: else only the fast ones would be remembered.
-            times = self._context.times.of(run.row.pipeline.name, run.stage.name, now)
-            times.record(elapsed / fresh * (wanted - run.resumed_from), now)
+            times.record(projected, now)
             raise Refusal(problems.TOO_LATE, f"Stage {run.stage.name} is too slow to finish.")
 
     def _on_headers(self, target, headers):
--- a/traystall/systems/speeds.py
+++ b/traystall/systems/speeds.py
@@ -7,6 +7,8 @@
 _MAX_RATIO = 20.0
 # A slow target that gets no work is believed to recover by half in this time.
 RECOVERY_SECONDS = 10.0
+# Less than this is no news: any attempt may take a little longer than usual.
+OVERDUE_RATIO = 1.5
 
 
 def on_time(row: TargetRow, seconds: float, typical: float | None, now: float) -> None:
@@ -20,7 +22,7 @@
 
 def on_overdue(row: TargetRow, elapsed: float, typical: float | None, now: float) -> None:
     """Take in that an attempt has taken `elapsed` and is not done: a lower bound only."""
-    if typical and elapsed / typical > row.service_ratio:
+    if typical and elapsed / typical > max(row.service_ratio, OVERDUE_RATIO):
         on_time(row, elapsed, typical, now)
 
 
