Prove a silent cut of a data centre on real processes

Cause: cuts were proved on the pure core only, and a cut gives no reset: a time-out that is missing somewhere shows only on real links.

Change: a relay before each control daemon, told apart by the greeting of each link, that stalls bytes in silence; a setting, rpc_advertise, for a daemon whose peers reach it at another address than the one it listens at.

Ruled out: freezing a process instead; a frozen process answers late when it thaws, a cut one goes on by itself, and only the latter tests its own lease.

--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -145,6 +145,7 @@
         log_level="info",
         folder=None,
         variant=None,
+        relay=None,
     ):
         self.folder = Path(folder or tempfile.mkdtemp(prefix="traystall-"))
         self.documents = self._read(bundle)
@@ -163,6 +164,7 @@
         self._variant = variant
         self._seconds = seconds or {}
         self._solo = set(solo)
+        self._relay = relay
         self._make_fakes()
         self._make_controls()
         self._make_gateways(gateways_per_place)
@@ -332,11 +334,16 @@
 
     def make_control(self, name, place, address, http_address, initial):
         """Return a control daemon, not started."""
+        listen = address
+        if self._relay is not None:
+            listen = f"{HOST}:{free_ports(1)[0]}"
+            self._relay.add(name, address, listen)
         flags = {
             "cluster": CLUSTER,
             "instance": name,
             "data-centre": place,
-            "rpc-listen": address,
+            "rpc-listen": listen,
+            "rpc-advertise": address,
             "http-listen": http_address,
             "data-folder": str(self.folder / f"data-{name}"),
             "initial-members": initial,
--- a/traystall/control/daemon.py
+++ b/traystall/control/daemon.py
@@ -40,6 +40,7 @@
     def __init__(self, settings: Settings):
         super().__init__()
         self._settings = settings
+        self._address = settings.rpc_advertise or settings.rpc_listen
         self.node: Node | None = None
 
     async def start(self) -> None:
@@ -53,7 +54,7 @@
         identity = folder.identity.name
         self._links = LinkPool(LinkIdentity(settings.cluster, ROLE, identity, settings.secret))
         self.node = self._make_node(identity, folder, recovered)
-        subscribers = Subscribers(self.node, self._links, settings.rpc_listen)
+        subscribers = Subscribers(self.node, self._links, self._address)
         self._members = MemberChanges(self.node)
         self._orderer = Orderer(self.node)
         service = ControlService(self.node, subscribers, self._members, settings.operator_token)
@@ -102,7 +103,7 @@
             StateMachine(),
             folder,
             self._links,
-            settings.rpc_listen,
+            self._address,
             known_addresses={},
             snapshot_every=settings.snapshot_every,
         )
--- a/traystall/control/settings.py
+++ b/traystall/control/settings.py
@@ -8,6 +8,7 @@
     Setting("instance", str, "Name of this instance, unique in the cluster."),
     Setting("data_centre", str, "Data centre of this instance."),
     Setting("rpc_listen", str, "IP:PORT for links from other traystall processes."),
+    Setting("rpc_advertise", str, "IP:PORT told to peers, if it is not rpc_listen.", ""),
     Setting("http_listen", str, "IP:PORT for /metrics, /livez and /readyz."),
     Setting("data_folder", str, "Folder for the log and snapshots, on a disk of this instance."),
     Setting(
@@ -30,6 +31,8 @@
     """Return what is wrong with the settings taken together."""
     problems = check_address("rpc_listen", settings.rpc_listen)
     problems += check_address("http_listen", settings.http_listen)
+    if settings.rpc_advertise:
+        problems += check_address("rpc_advertise", settings.rpc_advertise)
     for name, address in settings.initial_members.items():
         problems += check_address(f"initial_members[{name}]", address)
     if not settings.initial_members:
