Let the parts of customers' limits follow demand

Cause: a limit is divided evenly over the declared gateways. With a balancer that sprays, a customer with 9 permits over 9 gateways is refused at the second request that meets the same gateway, long before its whole limit is used.

Change: a gateway that runs out asks the neighbours of its data centre before it refuses. Tokens of the rate change hands for good; permits for 30 s, and the borrower uses them only for requests that surely end before that.

Ruled out: a central count, which a cut would stop; and permits that are given back by a message, which a lost message would either lose or double.

Measured: 150 random histories of three gateways with different clocks and lost answers never exceed the whole (requests running, and requests started); one of two gateways reaches 9 of 9 permits where it had 5.

--- a/tests/systems/test_limits.py
+++ b/tests/systems/test_limits.py
@@ -41,7 +41,7 @@
     customer = Customer("x", ("a",), Limits(rate=float(rate)))
     limiter, admitted = limits.Limiter(), []
     for now in itertools.accumulate(gaps):
-        if limiter.admit(customer, 0, 1, now).within:
+        if limiter.admit(customer, 0, 1, now, 1.0).within:
             admitted.append(now)
             limiter.finish("x")
     for first, last in itertools.combinations(range(len(admitted)), 2):
@@ -49,6 +49,57 @@
         assert last - first + 1 <= max(1, rate) + rate * window + 1e-6
 
 
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.randoms(use_true_random=False), st.integers(1, 12), st.booleans())
+def test_loans_never_make_the_parts_exceed_the_whole(rng, whole, answers_get_lost):
+    """Random requests, ends and loans at three gateways whose clocks differ."""
+    customer = Customer("x", ("a",), Limits(rate=float(whole), concurrency=whole))
+    gateways = [limits.Limiter() for _ in range(3)]
+    offsets = [rng.uniform(0, 50) for _ in gateways]
+    now, admitted, running = 0.0, 0, []
+    for _ in range(120):
+        now += rng.choice((0.0, 0.05, 0.5, 8.0))
+        running = [(end, g) for end, g in running if not ends(gateways, end, g, now)]
+        at = rng.randrange(3)
+        seconds = rng.choice((0.5, 5.0, 20.0))
+        verdict = gateways[at].admit(customer, at, 3, now + offsets[at], seconds)
+        if verdict.within:
+            admitted += 1
+            running.append((now + seconds, at))
+        else:
+            lender = (at + rng.choice((1, 2))) % 3
+            loan = gateways[lender].lend(
+                customer, lender, 3, now + offsets[lender], limits.Loan(8.0, 4)
+            )
+            if not (answers_get_lost and rng.random() < 0.5):
+                gateways[at].borrow("x", loan, now + offsets[at])
+        assert len(running) <= whole
+        assert admitted <= 3 * max(1.0, whole / 3) + whole * now + 1e-6
+
+
+def ends(gateways, end, gateway, now):
+    """Return whether a request has ended by now, and count it out."""
+    if end <= now:
+        gateways[gateway].finish("x")
+    return end <= now
+
+
+def test_borrowing_lets_one_gateway_use_the_whole():
+    customer = Customer("x", ("a",), Limits(concurrency=9))
+    one, other = limits.Limiter(), limits.Limiter()
+    while one.admit(customer, 0, 2, 0.0, 1.0).within:
+        pass
+    for _ in range(4):
+        loan = other.lend(customer, 1, 2, 0.0, limits.Loan(8.0, 4))
+        one.borrow("x", loan, 0.0)
+    extra = 0
+    while one.admit(customer, 0, 2, 0.0, 1.0).within:
+        extra += 1
+    assert extra == 4
+    assert not other.admit(customer, 1, 2, 0.0, 1.0).within
+    assert other.admit(customer, 1, 2, limits.LOAN_SECONDS, 1.0).within
+
+
 def test_fair_order_serves_customers_by_share_within_a_class():
     large, small = Customer("large", ("a",), Limits(share=3.0)), Customer("small", ("a",))
     stage = Stage("s", "pool", "service")
--- /dev/null
+++ b/traystall/gateway/allowances.py
@@ -0,0 +1,103 @@
+"""Hold customers to their limits, borrowing from neighbours before a refusal."""
+
+from traystall.core import clock
+from traystall.core.exceptions import RpcError
+from traystall.core.logs import decision
+from traystall.gateway import problems
+from traystall.gateway.context import GatewayContext
+from traystall.gateway.parsing import Envelope
+from traystall.gateway.problems import Refusal
+from traystall.gateway.runner import LINGER_SECONDS
+from traystall.rpc.gen.wire.ttypes import BorrowRequest
+from traystall.systems import admission, limits
+from traystall.systems.limits import Loan
+from traystall.tables.entities import Customer
+
+_ASK_SECONDS = 0.1
+# A customer that is over its limit everywhere costs one round of questions in this time.
+_ASK_AGAIN_SECONDS = 0.2
+_TOKENS_WANTED = 8.0
+_PERMITS_WANTED = 4
+
+
+class Allowances:
+    """Admit requests within the part of the limits that this gateway holds."""
+
+    def __init__(self, context: GatewayContext):
+        self._context = context
+        self._asked_at: dict[str, float] = {}
+
+    async def admit(self, envelope: Envelope) -> None:
+        """Count the request in, or raise Refusal if the customer is over its limit."""
+        customer = envelope.customer
+        seconds = envelope.deadline_seconds
+        if envelope.key and not envelope.pipeline.repeatable:
+            seconds += LINGER_SECONDS
+        verdict = self._try(customer, seconds)
+        if not verdict.within and await self._borrow(customer):
+            verdict = self._try(customer, seconds)
+        if not verdict.within:
+            after = admission.retry_after_seconds(verdict.retry_after)
+            raise Refusal(problems.OVER_LIMIT, verdict.why, after)
+
+    def lend(self, name: str, wanted: Loan) -> Loan:
+        """Return what a neighbour may have of a customer's part here."""
+        customer = self._context.tables.customer(name)
+        if customer is None:
+            return Loan()
+        index, count = self._position(customer)
+        return self._context.limiter.lend(customer, index, count, clock.monotonic(), wanted)
+
+    def _try(self, customer, seconds):
+        index, count = self._position(customer)
+        return self._context.limiter.admit(customer, index, count, clock.monotonic(), seconds)
+
+    def _position(self, customer: Customer) -> tuple[int, int]:
+        context = self._context
+        places = context.tables.data_centres()
+        index = limits.position_inside(
+            customer, places, context.data_centre, context.settings.index
+        )
+        return index, limits.gateways_inside(customer, places)
+
+    async def _borrow(self, customer) -> bool:
+        """Ask the neighbours in turn; return whether one of them had something."""
+        now = clock.monotonic()
+        if now - self._asked_at.get(customer.name, float("-inf")) < _ASK_AGAIN_SECONDS:
+            return False
+        self._asked_at[customer.name] = now
+        for neighbour in self._neighbours():
+            loan, asked_at = await self._ask(neighbour, customer)
+            if loan.tokens or loan.permits:
+                self._context.limiter.borrow(customer.name, loan, asked_at)
+                decision(
+                    "borrow",
+                    customer=customer.name,
+                    lender=neighbour.instance,
+                    tokens=loan.tokens,
+                    permits=loan.permits,
+                )
+                return True
+        return False
+
+    def _neighbours(self):
+        context = self._context
+        found = [
+            row
+            for row in context.follower.directory
+            if row.data_centre == context.data_centre and row.identity != context.identity
+        ]
+        context.random.shuffle(found)
+        return found
+
+    async def _ask(self, neighbour, customer):
+        asked_at = clock.monotonic()
+        request = BorrowRequest(
+            customer=customer.name, tokens=_TOKENS_WANTED, permits=_PERMITS_WANTED
+        )
+        try:
+            link = self._context.links.link(neighbour.rpc_address)
+            reply = await link.call(request, _ASK_SECONDS)
+        except RpcError:
+            return Loan(), asked_at
+        return Loan(reply.tokens, reply.permits, reply.seconds), asked_at
--- a/traystall/gateway/front.py
+++ b/traystall/gateway/front.py
@@ -9,11 +9,12 @@
 from traystall.core import clock, metrics
 from traystall.core.logs import decision
 from traystall.gateway import answers, parsing, problems
+from traystall.gateway.allowances import Allowances
 from traystall.gateway.context import GatewayContext
 from traystall.gateway.problems import Refusal
 from traystall.gateway.relay import Relay
 from traystall.gateway.runner import RequestRunner
-from traystall.systems import admission, limits
+from traystall.systems import admission
 from traystall.systems.place import is_allowed
 from traystall.tables.requests import RequestRow, RunState
 
@@ -29,6 +30,7 @@
         self._context = context
         self._relay = relay
         self._runner = RequestRunner(context)
+        self._allowances = Allowances(context)
         self._lingering: set[asyncio.Task] = set()
         self._explained: OrderedDict[str, RequestRow] = OrderedDict()
         self.in_flight = 0
@@ -90,6 +92,7 @@
         data = await parsing.read_body(request)
         body = parsing.parse_body(data)
         self._admit(envelope, started)
+        await self._allowances.admit(envelope)
         row = parsing.make_row(envelope, data, started)
         self._remember(row)
         try:
@@ -106,17 +109,6 @@
         admitted = admission.admit(context.times, envelope.pipeline, deadline, now)
         if not admitted.admitted:
             raise Refusal(problems.TOO_LATE, admitted.why, admitted.retry_after)
-        count = limits.gateways_inside(envelope.customer, context.tables.data_centres())
-        index = limits.position_inside(
-            envelope.customer,
-            context.tables.data_centres(),
-            context.data_centre,
-            context.settings.index,
-        )
-        verdict = context.limiter.admit(envelope.customer, index, count, now)
-        if not verdict.within:
-            after = admission.retry_after_seconds(verdict.retry_after)
-            raise Refusal(problems.OVER_LIMIT, verdict.why, after)
 
     async def _run_whole(self, row, body):
         try:
--- a/traystall/gateway/service.py
+++ b/traystall/gateway/service.py
@@ -2,8 +2,10 @@
 
 from traystall.core import clock
 from traystall.core.exceptions import RpcRefused
+from traystall.gateway.allowances import Allowances
 from traystall.gateway.context import GatewayContext
 from traystall.rpc.gen.wire import ttypes
+from traystall.systems.limits import Loan
 from traystall.systems.place import is_allowed
 
 
@@ -12,10 +14,12 @@
 
     def __init__(self, context: GatewayContext):
         self._context = context
+        self._allowances = Allowances(context)
         self._handlers = {
             ttypes.HoldResultRequest: self._hold,
             ttypes.FetchResultRequest: self._fetch,
             ttypes.WatchRequest: self._watch,
+            ttypes.BorrowRequest: self._lend,
         }
 
     async def handle(self, request):
@@ -48,5 +52,10 @@
         data = context.results.get(request.claim_id, request.customer, clock.monotonic())
         return ttypes.FetchResultReply(found=data is not None, result=data)
 
+    def _lend(self, request):
+        wanted = Loan(request.tokens, request.permits)
+        loan = self._allowances.lend(request.customer, wanted)
+        return ttypes.BorrowReply(tokens=loan.tokens, permits=loan.permits, seconds=loan.seconds)
+
     def _watch(self, request):
         return self._context.follower.answer_watch(request)
--- a/traystall/rpc/gen/wire/ttypes.py
+++ b/traystall/rpc/gen/wire/ttypes.py
@@ -37,6 +37,7 @@
     HOLD_RESULT = 19
     FETCH_RESULT = 20
     HANDOVER = 21
+    BORROW = 22
 
     _VALUES_TO_NAMES = {
         1: "HELLO",
@@ -59,6 +60,7 @@
         19: "HOLD_RESULT",
         20: "FETCH_RESULT",
         21: "HANDOVER",
+        22: "BORROW",
     }
 
     _NAMES_TO_VALUES = {
@@ -82,6 +84,7 @@
         "HOLD_RESULT": 19,
         "FETCH_RESULT": 20,
         "HANDOVER": 21,
+        "BORROW": 22,
     }
 
 
@@ -4081,6 +4084,190 @@
         return not (self == other)
 
 
+class BorrowRequest(object):
+    """
+    Attributes:
+     - customer
+     - tokens
+     - permits
+
+    """
+
+    __slots__ = (
+        'customer',
+        'tokens',
+        'permits',
+    )
+
+
+    def __init__(self, customer=None, tokens=None, permits=None,):
+        self.customer = customer
+        self.tokens = tokens
+        self.permits = permits
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.customer = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.tokens = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.permits = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BorrowRequest')
+        if self.customer is not None:
+            oprot.writeFieldBegin('customer', TType.STRING, 1)
+            oprot.writeString(self.customer.encode('utf-8') if sys.version_info[0] == 2 else self.customer)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.DOUBLE, 2)
+            oprot.writeDouble(self.tokens)
+            oprot.writeFieldEnd()
+        if self.permits is not None:
+            oprot.writeFieldBegin('permits', TType.I32, 3)
+            oprot.writeI32(self.permits)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class BorrowReply(object):
+    """
+    Attributes:
+     - tokens
+     - permits
+     - seconds
+
+    """
+
+    __slots__ = (
+        'tokens',
+        'permits',
+        'seconds',
+    )
+
+
+    def __init__(self, tokens=None, permits=None, seconds=None,):
+        self.tokens = tokens
+        self.permits = permits
+        self.seconds = seconds
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.DOUBLE:
+                    self.tokens = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.permits = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BorrowReply')
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.DOUBLE, 1)
+            oprot.writeDouble(self.tokens)
+            oprot.writeFieldEnd()
+        if self.permits is not None:
+            oprot.writeFieldBegin('permits', TType.I32, 2)
+            oprot.writeI32(self.permits)
+            oprot.writeFieldEnd()
+        if self.seconds is not None:
+            oprot.writeFieldBegin('seconds', TType.DOUBLE, 3)
+            oprot.writeDouble(self.seconds)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class HoldResultRequest(object):
     """
     Attributes:
@@ -4751,6 +4938,20 @@
     None,  # 0
     (1, TType.STRING, 'outcome', 'UTF8', None, ),  # 1
 )
+all_structs.append(BorrowRequest)
+BorrowRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'customer', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'tokens', None, None, ),  # 2
+    (3, TType.I32, 'permits', None, None, ),  # 3
+)
+all_structs.append(BorrowReply)
+BorrowReply.thrift_spec = (
+    None,  # 0
+    (1, TType.DOUBLE, 'tokens', None, None, ),  # 1
+    (2, TType.I32, 'permits', None, None, ),  # 2
+    (3, TType.DOUBLE, 'seconds', None, None, ),  # 3
+)
 all_structs.append(HoldResultRequest)
 HoldResultRequest.thrift_spec = (
     None,  # 0
--- a/traystall/rpc/messages.py
+++ b/traystall/rpc/messages.py
@@ -36,6 +36,7 @@
     Method.HOLD_RESULT: ttypes.HoldResultRequest,
     Method.FETCH_RESULT: ttypes.FetchResultRequest,
     Method.HANDOVER: ttypes.HandoverRequest,
+    Method.BORROW: ttypes.BorrowRequest,
 }
 REPLY_TYPES = {
     Method.HELLO: ttypes.HelloReply,
@@ -51,6 +52,7 @@
     Method.HOLD_RESULT: ttypes.HoldResultReply,
     Method.FETCH_RESULT: ttypes.FetchResultReply,
     Method.HANDOVER: ttypes.HandoverReply,
+    Method.BORROW: ttypes.BorrowReply,
 }
 METHOD_OF_REQUEST = {kind: method for method, kind in REQUEST_TYPES.items()}
 
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -24,6 +24,7 @@
   HOLD_RESULT = 19
   FETCH_RESULT = 20
   HANDOVER = 21
+  BORROW = 22
 }
 
 // One framed exchange. call_id 0 means that no reply is expected.
@@ -137,6 +138,10 @@
 struct ReleaseRequest { 1: string customer, 2: string key, 3: string claim_id }
 struct ReleaseReply { 1: string outcome }
 
+// ---- customers' limits between gateways of one data centre ----
+struct BorrowRequest { 1: string customer, 2: double tokens, 3: i32 permits }
+struct BorrowReply { 1: double tokens, 2: i32 permits, 3: double seconds }
+
 // ---- kept results between gateways of a customer's data centres ----
 struct HoldResultRequest { 1: string claim_id, 2: string customer, 3: binary result, 4: double retention }
 struct HoldResultReply { 1: bool held }
--- a/traystall/systems/limits.py
+++ b/traystall/systems/limits.py
@@ -6,6 +6,18 @@
 
 # A bucket holds at most this many seconds of its rate, but one request at least.
 BURST_SECONDS = 1.0
+# Lent permits come back to their owner after this time.
+LOAN_SECONDS = 30.0
+# Clocks of two instances may run apart by this fraction.
+CLOCK_DRIFT = 0.1
+MAX_WAIT = 60.0
+
+
+class PermitLoan(msgspec.Struct, frozen=True):
+    """Hold borrowed or lent permits; `until` is monotonic seconds of this process."""
+
+    permits: int
+    until: float
 
 
 class LimitRow(msgspec.Struct):
@@ -14,6 +26,16 @@
     tokens: float
     refilled_at: float
     running: int = 0
+    lent: list[PermitLoan] = []
+    borrowed: list[PermitLoan] = []
+
+
+class Loan(msgspec.Struct, frozen=True):
+    """Hold what one gateway hands to another: tokens for good, permits for `seconds`."""
+
+    tokens: float = 0.0
+    permits: int = 0
+    seconds: float = 0.0
 
 
 class Verdict(msgspec.Struct, frozen=True):
@@ -60,22 +82,30 @@
 
 
 class Limiter:
-    """Decide and count, customer by customer."""
+    """Decide and count, customer by customer.
+
+    Parts follow demand: a gateway that runs out asks its neighbours. Tokens of
+    the rate change hands for good. Permits come back to the lender by time, so
+    the borrower may use them only for requests that surely end before that;
+    a lost answer loses tokens or permits, and never makes any.
+    """
 
     def __init__(self):
         self._rows: dict[str, LimitRow] = {}
 
-    def admit(self, customer: Customer, index: int, count: int, now: float) -> Verdict:
-        """Return whether the customer may start one more request here, and count it if so."""
-        rate = part_of(customer.limits.rate, index, count)
-        row = self._refill(customer.name, rate, now)
+    def admit(
+        self, customer: Customer, index: int, count: int, now: float, seconds: float
+    ) -> Verdict:
+        """Return whether a request of at most `seconds` may start here, and count it if so."""
+        row = self._row(customer, index, count, now)
         if customer.limits.concurrency:
-            allowed = whole_part_of(customer.limits.concurrency, index, count)
-            if row.running >= allowed:
+            ends_at = now + seconds
+            if row.running >= self._permits(row, customer, index, count, now, ends_at):
                 return Verdict(False, "concurrency", 1.0)
         if customer.limits.rate:
             if row.tokens < 1.0:
-                wait = (1.0 - row.tokens) / rate if rate else 60.0
+                rate = part_of(customer.limits.rate, index, count)
+                wait = (1.0 - row.tokens) / rate if rate else MAX_WAIT
                 return Verdict(False, "rate", wait)
             row.tokens -= 1.0
         row.running += 1
@@ -85,11 +115,48 @@
         """Count that a request of the customer ended."""
         self._rows[customer].running -= 1
 
-    def _refill(self, name, rate, now):
+    def lend(self, customer: Customer, index: int, count: int, now: float, wanted: Loan) -> Loan:
+        """Hand out part of what is not used here: half at most, permits in use never."""
+        row = self._row(customer, index, count, now)
+        tokens = 0.0
+        if customer.limits.rate and row.tokens >= 1.0:
+            tokens = min(wanted.tokens, max(1.0, row.tokens / 2))
+            row.tokens -= tokens
+        permits = 0
+        if customer.limits.concurrency:
+            until = now + LOAN_SECONDS
+            free = self._permits(row, customer, index, count, now, until) - row.running
+            permits = min(wanted.permits, max(0, (free + 1) // 2))
+            if permits:
+                row.lent = [*row.lent, PermitLoan(permits, until)]
+        return Loan(tokens, permits, LOAN_SECONDS)
+
+    def borrow(self, customer: str, loan: Loan, asked_at: float) -> None:
+        """Take in what a neighbour handed out; `asked_at` is when it was asked."""
+        row = self._rows[customer]
+        row.tokens += loan.tokens
+        if loan.permits:
+            # The lender counts from when it answered, which is later than the question.
+            until = asked_at + loan.seconds * (1 - CLOCK_DRIFT)
+            row.borrowed = [*row.borrowed, PermitLoan(loan.permits, until)]
+
+    def _permits(self, row, customer, index, count, now, needed_until):
+        """Return the permits usable for a request that ends by `needed_until`."""
+        row.lent = [loan for loan in row.lent if loan.until > now]
+        row.borrowed = [loan for loan in row.borrowed if loan.until > now]
+        own = whole_part_of(customer.limits.concurrency, index, count)
+        own -= sum(loan.permits for loan in row.lent)
+        usable = (loan.permits for loan in row.borrowed if loan.until >= needed_until)
+        return own + sum(usable)
+
+    def _row(self, customer, index, count, now):
+        rate = part_of(customer.limits.rate, index, count)
         capacity = max(1.0, rate * BURST_SECONDS)
-        row = self._rows.get(name)
+        row = self._rows.get(customer.name)
         if row is None:
-            row = self._rows[name] = LimitRow(capacity, now)
-        row.tokens = min(capacity, row.tokens + rate * (now - row.refilled_at))
+            row = self._rows[customer.name] = LimitRow(capacity, now)
+        # Borrowed tokens may lie above the capacity; they are kept, but nothing is added to them.
+        refill = rate * (now - row.refilled_at)
+        row.tokens = max(row.tokens, min(capacity, row.tokens + refill))
         row.refilled_at = now
         return row
