--- a/tests/support/variant_gateway.py
+++ b/tests/support/variant_gateway.py
@@ -45,6 +45,7 @@
 def without_ratio():
     """Take every target for equally fast."""
     speeds.on_time = lambda row, seconds, typical, now: None
+    speeds.on_overdue = lambda row, elapsed, typical, now: None
 
 
 def without_breaker():
--- a/traystall/systems/queues.py
+++ b/traystall/systems/queues.py
@@ -9,7 +9,7 @@
 
 from traystall.tables.entities import CLASS_RANK, Customer, PriorityClass, Stage
 
-WAIT_WEIGHT = 0.05
+WAIT_WEIGHT = 0.15
 
 
 class Waiter(msgspec.Struct, eq=False):
--- a/traystall/systems/speeds.py
+++ b/traystall/systems/speeds.py
@@ -3,6 +3,8 @@
 from traystall.tables.targets import TargetRow
 
 _WEIGHT = 0.4
+# An attempt that is overdue says more than one that ended: it may take much longer still.
+_OVERDUE_WEIGHT = 0.8
 _MIN_RATIO = 0.25
 _MAX_RATIO = 20.0
 # A slow target that gets no work is believed to recover by half in this time.
@@ -13,17 +15,14 @@
 
 def on_time(row: TargetRow, seconds: float, typical: float | None, now: float) -> None:
     """Take in one observed time, given the typical one of the same stage."""
-    if not typical:
-        return
-    ratio = min(_MAX_RATIO, max(_MIN_RATIO, seconds / typical))
-    row.service_ratio += _WEIGHT * (ratio - row.service_ratio)
-    row.ratio_at = now
+    if typical:
+        _fold(row, seconds / typical, _WEIGHT, now)
 
 
 def on_overdue(row: TargetRow, elapsed: float, typical: float | None, now: float) -> None:
     """Take in that an attempt has taken `elapsed` and is not done: a lower bound only."""
     if typical and elapsed / typical > max(row.service_ratio, OVERDUE_RATIO):
-        on_time(row, elapsed, typical, now)
+        _fold(row, elapsed / typical, _OVERDUE_WEIGHT, now)
 
 
 def decay(row: TargetRow, now: float) -> None:
@@ -31,3 +30,9 @@
     if row.service_ratio > 1.0 and now - row.ratio_at > RECOVERY_SECONDS:
         row.service_ratio = 1.0 + (row.service_ratio - 1.0) / 2
         row.ratio_at = now
+
+
+def _fold(row, ratio, weight, now):
+    bounded = min(_MAX_RATIO, max(_MIN_RATIO, ratio))
+    row.service_ratio += weight * (bounded - row.service_ratio)
+    row.ratio_at = now
