Settle a doubt by asking the target that ran the key

Cause: a claim whose answer was lost stayed may-have-run for its whole retention, also where the back end could have told: an unstamped receipt that is in fact stamped.

Change: where the bundle gives a target a lookup path, a held claim is looked up; a result there is given and the request goes on from it under the old claim. An unknown key proves nothing and changes nothing.

Ruled out: taking 'unknown' for 'not run'; the call may still be on its way.

Measured: 4 cells (answer lost or never sent, claimant alive or dead) pass; the work ran at most once in each.

--- a/tests/gateway/test_fault_matrix.py
+++ b/tests/gateway/test_fault_matrix.py
@@ -213,6 +213,31 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("alive", [True, False], ids=["alive", "dead"])
+@pytest.mark.parametrize("fault", ["reset without an answer", "closed on accept"])
+def test_doubt_is_settled_by_asking_the_target(fault, alive):
+    """A target that ran the key gives its result; one that does not know it proves nothing."""
+
+    async def scenario():
+        target = RawTarget("service", [fault])
+        stages = [service_stage(repeatable=False), service_stage(name="after")]
+        targets = {("pool", PLACE): [target]}
+        async with GatewayBench(targets, stages, deadline=1.0, lookup="/look") as bench:
+            assert (await bench.ask("mark", "key"))[1]["run"] == "may-have-run"
+            bench.ledger.alive = alive
+            ran = len(target.runs)
+            status, document = await bench.ask("mark", "key")
+            if ran:
+                assert (status, document["result"]["echo"]) == (200, "mark")
+                again, replayed = await bench.ask("mark", "key")
+                assert (again, replayed["result"]) == (200, document["result"])
+            else:
+                assert (status, document["code"]) == (409, "claim-held")
+            assert [run["key"] for run in target.runs].count("key") == ran
+
+    asyncio.run(scenario())
+
+
 def test_same_key_with_another_body_is_refused():
     async def scenario():
         target = RawTarget("service")
--- a/tests/support/gateway_bench.py
+++ b/tests/support/gateway_bench.py
@@ -89,7 +89,8 @@
 class GatewayBench:
     """Serve one gateway over the given raw targets, as an async context manager."""
 
-    def __init__(self, targets, stages, customer=None, deadline=3.0):
+    def __init__(self, targets, stages, customer=None, deadline=3.0, lookup=""):
+        self.lookup = lookup
         self.targets = targets
         self.customer = customer or Customer("customer", (PLACE,))
         self.pipeline = Pipeline("pipeline", tuple(stages), deadline=deadline)
@@ -107,7 +108,8 @@
             for number, target in enumerate(targets):
                 await target.start()
                 name = f"{pool}-{place}-{number}"
-                rows.append(Target(name, pool, target.kind, place, target.address))
+                row = Target(name, pool, target.kind, place, target.address, lookup=self.lookup)
+                rows.append(row)
         self.declare(rows, 1)
         await self.context.http.open()
         self.relay = Relay(self.context)
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -51,6 +51,9 @@
             writer.transport.abort()
             return False
         headers, body = await self._read(reader)
+        if not body:
+            self._look_up(writer, headers.get(KEY_HEADER.lower(), ""))
+            return True
         self.seen.append(body)
         attempt = headers.get(ATTEMPT_HEADER.lower(), "")
         if fault in ("refused not run", "refused leaving"):
@@ -111,6 +114,11 @@
         await writer.drain()
         return True
 
+    def _look_up(self, writer, key):
+        known = key in [run["key"] for run in self.runs]
+        result = {"echo": "mark", "run": len(self.runs)} if known else None
+        self._write(writer, 200, "", json.dumps({"known": known, "result": result}))
+
     def _document(self, attempt, body):
         echo = body.get("request", {}).get("input")
         return json.dumps({"id": attempt, "echo": echo, "run": len(self.runs)})
--- a/traystall/gateway/adapters/http.py
+++ b/traystall/gateway/adapters/http.py
@@ -53,11 +53,11 @@
             if session is not None:
                 await session.close()
 
-    async def get_json(self, url: str, seconds: float) -> dict:
+    async def get_json(self, url: str, seconds: float, headers: dict | None = None) -> dict:
         """Return a small JSON document; raise TargetFailed if there is none."""
         timeout = aiohttp.ClientTimeout(total=seconds)
         try:
-            async with self._fresh.get(url, timeout=timeout) as response:
+            async with self._fresh.get(url, timeout=timeout, headers=headers) as response:
                 if response.status != 200:
                     raise TargetFailed(response.status, url)
                 document = await response.json(content_type=None)
--- a/traystall/gateway/runner.py
+++ b/traystall/gateway/runner.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+import msgspec
+
 from traystall.core import clock
 from traystall.core.exceptions import RpcError
 from traystall.core.logs import decision
@@ -10,6 +12,7 @@
 from traystall.gateway import problems
 from traystall.gateway.context import GatewayContext
 from traystall.gateway.ledger import LedgerUnavailable
+from traystall.gateway.lookups import LookUps
 from traystall.gateway.problems import Refusal
 from traystall.gateway.stages import StageRun, StageRunner
 from traystall.ledger.models import ClaimOutcome
@@ -32,12 +35,20 @@
 _HELD_POLL_SECONDS = 0.2
 
 
+class Claimed(msgspec.Struct, frozen=True):
+    """Hold what a claim led to: nothing (it was won), a whole answer, or a stage's result."""
+
+    answer: dict | None = None
+    result: dict | None = None
+
+
 class RequestRunner:
     """Run requests of this gateway."""
 
     def __init__(self, context: GatewayContext):
         self._context = context
         self._stages = StageRunner(context)
+        self._look_ups = LookUps(context)
 
     async def run(self, row: RequestRow, body: dict, on_token) -> dict:
         """Return the whole answer document, or raise Refusal."""
@@ -51,9 +62,12 @@
         results: dict[str, dict] = {}
         for index, stage in enumerate(row.pipeline.stages):
             if row.key and not row.claimed and not row.is_repeatable(stage):
-                held = await self._claim(row, stage)
-                if held is not None:
-                    return held
+                claimed = await self._claim(row, stage)
+                if claimed.answer is not None:
+                    return claimed.answer
+                if claimed.result is not None:
+                    results[stage.name] = claimed.result
+                    continue
             record = StageRecord(stage.name)
             row.stages.append(record)
             run = StageRun(
@@ -78,8 +92,8 @@
 
     # ---- claims ----
 
-    async def _claim(self, row, stage) -> dict | None:
-        """Win the claim and return None, or return the answer that an earlier run left."""
+    async def _claim(self, row, stage) -> "Claimed":
+        """Win the claim, or return what an earlier run left."""
         try:
             return await self._ask_for_claim(row, stage)
         except asyncio.CancelledError:
@@ -98,7 +112,7 @@
             stage=stage.name,
         )
         while True:
-            seconds = (row.deadline - clock.monotonic()) * _CLAIM_SHARE
+            seconds = self._remaining(row) * _CLAIM_SHARE
             try:
                 reply = await self._context.ledger.claim(request, seconds)
             except LedgerUnavailable as error:
@@ -109,13 +123,35 @@
             if reply.outcome == ClaimOutcome.WON:
                 self._require_window(row)
                 row.on_claimed()
-                return None
-            if reply.outcome != ClaimOutcome.HELD or not reply.claimant_alive:
-                return await self._answer_of(row, reply)
-            if row.deadline - clock.monotonic() <= _HELD_POLL_SECONDS:
-                return await self._answer_of(row, reply)
+                return Claimed()
+            if reply.outcome != ClaimOutcome.HELD:
+                return Claimed(answer=await self._answer_of(row, reply))
+            result = await self._look_up(row, stage, reply)
+            if result is not None:
+                return Claimed(result=result)
+            if not reply.claimant_alive or self._remaining(row) <= _HELD_POLL_SECONDS:
+                raise Refusal(problems.CLAIM_HELD, run=RunState.MAY_HAVE_RUN, retry_after=2)
             await asyncio.sleep(_HELD_POLL_SECONDS)
 
+    def _remaining(self, row):
+        return row.deadline - clock.monotonic()
+
+    async def _look_up(self, row, stage, reply) -> dict | None:
+        """Settle a doubt by asking targets for the key: a result there is the work's own.
+
+        A target that does not know the key proves nothing: the call may be on its way.
+        """
+        later = row.pipeline.stages[row.pipeline.stages.index(stage) + 1 :]
+        if not all(row.is_repeatable(other) for other in later):
+            return None
+        result = await self._look_ups.find(row, stage)
+        if result is None:
+            return None
+        decision("claim-settled-by-target", request=row.request_id, stage=stage.name)
+        row.claim_id = reply.claim_id
+        row.on_claimed()
+        return result
+
     def _require_window(self, row):
         """Refuse to dispatch after the deadline: this process may have been frozen meanwhile."""
         if clock.monotonic() >= row.deadline:
@@ -128,8 +164,6 @@
             raise Refusal(problems.KEY_MISMATCH)
         if reply.outcome == ClaimOutcome.EXPIRED:
             raise Refusal(problems.KEY_EXPIRED, run=RunState.MAY_HAVE_RUN)
-        if reply.outcome == ClaimOutcome.HELD:
-            raise Refusal(problems.CLAIM_HELD, run=RunState.MAY_HAVE_RUN, retry_after=2)
         if reply.outcome == ClaimOutcome.RELEASED:
             raise Refusal(problems.LEDGER_UNAVAILABLE, "The claim was given back.")
         data = await self._fetch(row, reply)
