Show the cost by stage of all gateways

Cause: cost by stage was in metrics and answers only; Nomina Clara watches it.

Change: traystall costs adds up busy and wasted seconds over the live gateways, by stage, pipeline or customer.

Ruled out: carrying costs in heartbeats; at full size that is bytes for a figure that is asked for now and then.

--- a/tests/processes/test_thin_path.py
+++ b/tests/processes/test_thin_path.py
@@ -117,6 +117,16 @@
     assert cluster.cli("request", "quick-reading", *words[2:], "--body", "[]")[0] == 2
 
 
+def test_costs_add_up_over_gateways(cluster):
+    for gateway in range(3):
+        cluster.ask("quick-reading", "coop-hsinchu", gateway=gateway)
+    code, output, _ = cluster.cli("costs", "--by", "pipeline", "--output", "json")
+    assert code == 0
+    rows = {row["pipeline"]: row for row in json.loads(output)["costs"]}
+    assert rows["quick-reading"]["busy_seconds"] > 0
+    assert cluster.cli("costs", "--by", "colour")[0] == 2
+
+
 def test_diff_names_what_changes(cluster):
     changed = cluster.write_bundle(2, lambda d: d["customers"].pop())
     code, output, _ = cluster.cli("diff", changed, "--output", "json")
--- a/traystall/cli/main.py
+++ b/traystall/cli/main.py
@@ -23,6 +23,7 @@
     get_document,
     post_request,
 )
+from traystall.cli.costs import GROUPS, read_costs
 from traystall.cli.members import Members
 from traystall.cli.output import show
 from traystall.core import clock
@@ -112,6 +113,13 @@
         reply = self._call_client(self._read_status)
         show(_status_document(reply), self._output)
 
+    def costs(self, by="stage"):
+        """Show busy and wasted seconds of targets, by stage, pipeline or customer."""
+        if by not in GROUPS:
+            raise BadUsage(f"--by must be one of {', '.join(GROUPS)}, not '{by}'.")
+        reply = self._call_client(self._read_status)
+        show({"costs": asyncio.run(read_costs(reply.gateways or [], by))}, self._output)
+
     def request(
         self,
         pipeline,
