Tell a deadline that came early from a target that fails

Change: a time-out within three typical times leaves the breaker alone.

Ruled out: leaving every time-out out of the breaker; a silent target would then go on getting a probe's worth of work for ever.

--- a/tests/gateway/test_breakages.py
+++ b/tests/gateway/test_breakages.py
@@ -64,6 +64,7 @@
 def leaving_ignored(patch):
     """A target that says it is leaving goes on getting work."""
     patch.setattr("traystall.gateway.stages.note_presence", lambda target, report: None)
+    patch.setattr("traystall.gateway.learning.note_presence", lambda target, report: None)
 
 
 def claim_not_asked(patch):
--- a/traystall/core/exceptions.py
+++ b/traystall/core/exceptions.py
@@ -104,8 +104,9 @@
 class TargetDoubt(TargetError):
     """Report that an attempt may have run at the target without a usable answer."""
 
-    def __init__(self, reason):
+    def __init__(self, reason, timed_out=False):
         self.reason = reason
+        self.timed_out = timed_out
         super().__init__(f"The target may have run the attempt: {reason}.")
 
 
--- a/traystall/gateway/adapters/base.py
+++ b/traystall/gateway/adapters/base.py
@@ -10,7 +10,6 @@
 RUN_HEADER = "X-Run-State"
 STATE_HEADER = "X-Target-State"
 INCARNATION_HEADER = "X-Target-Incarnation"
-LOAD_HEADER = "X-Target-Load"
 PRIORITY_HEADER = "X-Priority"
 KEY_HEADER = "Idempotency-Key"
 
--- a/traystall/gateway/adapters/http.py
+++ b/traystall/gateway/adapters/http.py
@@ -172,5 +172,5 @@
     if not progress.sending:
         return TargetNotRun(type(error).__name__)
     if isinstance(error, asyncio.TimeoutError | TimeoutError):
-        return TargetDoubt("no answer in time")
+        return TargetDoubt("no answer in time", timed_out=True)
     return TargetDoubt(f"the connection failed ({type(error).__name__})")
--- a/traystall/systems/speeds.py
+++ b/traystall/systems/speeds.py
@@ -11,6 +11,8 @@
 RECOVERY_SECONDS = 10.0
 # Less than this is no news: any attempt may take a little longer than usual.
 OVERDUE_RATIO = 1.5
+# A target silent for this many typical times counts as failed.
+FAILED_RATIO = 3.0
 
 
 def on_time(row: TargetRow, seconds: float, typical: float | None, now: float) -> None:
@@ -25,6 +27,11 @@
         _fold(row, elapsed / typical, _OVERDUE_WEIGHT, now)
 
 
+def is_usual(elapsed: float, typical: float | None) -> bool:
+    """Return whether a target that has not answered yet may still be quite well."""
+    return typical is not None and elapsed <= typical * FAILED_RATIO
+
+
 def decay(row: TargetRow, now: float) -> None:
     """Let the ratio of an unused slow target drift back, so that it is tried again."""
     if row.service_ratio > 1.0 and now - row.ratio_at > RECOVERY_SECONDS:
--- a/traystall/tables/targets.py
+++ b/traystall/tables/targets.py
@@ -27,14 +27,6 @@
     probing: bool = False
 
 
-class ReportedLoad(msgspec.Struct):
-    """Hold a target's own report, which is late by its nature."""
-
-    running: int = 0
-    waiting: int = 0
-    at: float = float("-inf")
-
-
 class TargetRow(msgspec.Struct):
     """Hold what is known of one target."""
 
@@ -48,7 +40,6 @@
     service_ratio: float = 1.0
     ratio_at: float = float("-inf")
     breaker: Breaker = msgspec.field(default_factory=Breaker)
-    load: ReportedLoad = msgspec.field(default_factory=ReportedLoad)
     not_before: float = float("-inf")
     # Models that the target says it holds; empty means not known.
     models: frozenset[str] = frozenset()
