Hold work back while the following stage has enough waiting

Cause: with a reranker dead, the retrievers went on at 100 a second before 67 a second of reranking.

Change: bulk work is not started while twice the slots of its next stage already wait for them at this gateway.

--- a/tests/support/variant_gateway.py
+++ b/tests/support/variant_gateway.py
@@ -53,6 +53,13 @@
     breakers.on_failure = lambda breaker, now, random: None
 
 
+def without_holding():
+    """Start work whatever waits at the following stage."""
+    from traystall.gateway import dispatch
+
+    dispatch.is_held_back = lambda waiter, waiting_next, slots_next: False
+
+
 def without_foresight():
     """Ignore how long later stages make work wait, and how slow a target is."""
     queues_module.WaitTimes.record = lambda self, pool, seconds: None
@@ -82,6 +89,7 @@
     without_patience()
     without_classes()
     without_foresight()
+    without_holding()
     turn = itertools.count()
 
     def choose(found, waiter, now, random):
@@ -105,6 +113,7 @@
     "drop": without_drop,
     "ratio": without_ratio,
     "breaker": without_breaker,
+    "holding": without_holding,
     "foresight": without_foresight,
     "patience": without_patience,
     "classes": without_classes,
--- a/traystall/gateway/dispatch.py
+++ b/traystall/gateway/dispatch.py
@@ -6,8 +6,8 @@
 from traystall.core import clock
 from traystall.core.exceptions import GatewayError
 from traystall.core.logs import decision
-from traystall.systems import breakers, routing
-from traystall.systems.queues import FairClock, Waiter, WaitTimes, order
+from traystall.systems import breakers, routing, windows
+from traystall.systems.queues import FairClock, Waiter, WaitTimes, is_held_back, order
 from traystall.tables.entities import PriorityClass
 from traystall.tables.targets import TargetRow, TargetTable
 
@@ -27,6 +27,7 @@
         self._targets = targets
         self._random = random
         self._waiters: dict[str, list[Waiter]] = defaultdict(list)
+        self._held_for: dict[str, set[str]] = defaultdict(set)
         self._fair = FairClock()
         self.waits = WaitTimes()
 
@@ -39,6 +40,8 @@
         pool = waiter.stage.pool
         waiter.grant = asyncio.get_running_loop().create_future()
         self._waiters[pool].append(waiter)
+        if waiter.next_pool:
+            self._held_for[waiter.next_pool].add(pool)
         self.assign(pool)
         try:
             async with asyncio.timeout(max(0.0, waiter.latest_start - clock.monotonic())):
@@ -72,6 +75,11 @@
         for pool in list(self._waiters):
             self.assign(pool)
 
+    def _is_held_back(self, waiter):
+        next_pool = waiter.next_pool
+        slots = sum(windows.allowance(row) for row in self._targets.pool(next_pool))
+        return is_held_back(waiter, len(self._waiters[next_pool]), slots)
+
     def _consider(self, waiter, rows, now):
         if waiter.grant.done():
             return
@@ -79,6 +87,8 @@
         if not found:
             waiter.grant.set_exception(NoCandidate("No allowed target can run the stage."))
             return
+        if self._is_held_back(waiter):
+            return
         choice = routing.choose(found, waiter, now, self._random)
         if choice.row is None:
             return
@@ -109,3 +119,6 @@
         waiters = self._waiters[waiter.stage.pool]
         if waiter in waiters:
             waiters.remove(waiter)
+        # Whoever was held back for the sake of this queue may go on now.
+        for pool in self._held_for.get(waiter.stage.pool, ()):
+            self.assign(pool)
--- a/traystall/gateway/stage_run.py
+++ b/traystall/gateway/stage_run.py
@@ -26,6 +26,12 @@
         """Return the declared stage."""
         return self.row.pipeline.stages[self.index]
 
+    @property
+    def next_pool(self) -> str:
+        """Return the pool of the following stage, empty for the last one."""
+        later = self.row.pipeline.stages[self.index + 1 :]
+        return later[0].pool if later else ""
+
     @property
     def wanted_tokens(self) -> int:
         """Return how many tokens an engine is asked for."""
--- a/traystall/gateway/stages.py
+++ b/traystall/gateway/stages.py
@@ -68,6 +68,7 @@
             since=now,
             typical=times.of(row.pipeline.name, stage.name, now).quantile(deadlines.TYPICAL) or 0.0,
             must_end_by=run.run_until - rest,
+            next_pool=run.next_pool,
         )
         try:
             return await self._context.dispatcher.acquire(waiter)
--- a/traystall/systems/queues.py
+++ b/traystall/systems/queues.py
@@ -10,6 +10,8 @@
 from traystall.tables.entities import CLASS_RANK, Customer, PriorityClass, Stage
 
 WAIT_WEIGHT = 0.15
+# Work is held back once this many times the slots of the following stage wait for it.
+HELD_BEYOND = 2
 
 
 class Waiter(msgspec.Struct, eq=False):
@@ -26,6 +28,8 @@
     # Typical seconds of the stage, 0 if unknown, and when it must end to leave the rest its time.
     typical: float = 0.0
     must_end_by: float = float("inf")
+    # Pool of the following stage, empty for the last one.
+    next_pool: str = ""
     grant: object = None
 
 
@@ -63,6 +67,17 @@
         self._served[customer.name] = before + 1.0 / customer.limits.share
 
 
+def is_held_back(waiter: Waiter, waiting_next: int, slots_next: int) -> bool:
+    """Return whether to hold work because the following stage already has enough waiting.
+
+    Work that is started only to wait behind a slower stage is mostly wasted;
+    held back, it can still be refused as not run. Quick work is never held.
+    """
+    if not waiter.next_pool or waiter.priority is PriorityClass.QUICK:
+        return False
+    return waiting_next >= max(1, HELD_BEYOND * slots_next)
+
+
 def order(waiters: list[Waiter], clock: FairClock) -> list[Waiter]:
     """Return the waiters in the order in which slots go to them."""
     return sorted(
