Build the stage documents of answers and explanations in one place

Cause: the same nine lines stood in front.py and runner.py, and had begun to differ: explanations lacked the tokens.

Change: answers.stage_documents serves both; a breakage catches its own error only.

Ruled out: nothing.

--- a/tests/gateway/test_breakages.py
+++ b/tests/gateway/test_breakages.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.gateway import test_fault_matrix as matrix
+from traystall.core.exceptions import TargetDoubt
 from traystall.gateway.adapters import http, kinds
 from traystall.gateway.ledger import LedgerUnavailable
 from traystall.gateway.runner import RequestRunner
@@ -50,7 +51,7 @@
     async def read(response, call):
         try:
             return await original(response, call)
-        except Exception:
+        except TargetDoubt:
             return "length"
 
     patch.setattr(kinds, "_read_tokens", read)
--- a/traystall/gateway/answers.py
+++ b/traystall/gateway/answers.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from traystall.gateway.problems import Refusal
-from traystall.tables.requests import RunState
+from traystall.tables.requests import RequestRow, RunState
 
 EVENT_STREAM = "text/event-stream"
 PROBLEM_JSON = "application/problem+json"
@@ -16,6 +16,33 @@
 MAX_UNREAD_BYTES = 4 * 1024 * 1024
 
 
+def whole_document(row: RequestRow, result: dict) -> dict:
+    """Return the answer document: result, where each stage ran, and what it cost."""
+    return {
+        "request": row.request_id,
+        "status": "complete",
+        "result": result,
+        "stages": stage_documents(row),
+    }
+
+
+def stage_documents(row: RequestRow) -> list[dict]:
+    """Return where each stage of a request ran and what it cost; no payload."""
+    return [
+        {
+            "stage": record.stage,
+            "target": record.target,
+            "data_centre": record.data_centre,
+            "attempts": record.attempts,
+            "seconds": round(record.seconds, 6),
+            "queued_seconds": round(record.queued_seconds, 6),
+            "wasted_seconds": round(record.wasted_seconds, 6),
+            "tokens": record.tokens,
+        }
+        for record in row.stages
+    ]
+
+
 def problem_document(refusal: Refusal, run: RunState, request_id: str = "") -> dict:
     """Return the problem+json document of a refusal."""
     return {
--- a/traystall/gateway/front.py
+++ b/traystall/gateway/front.py
@@ -211,16 +211,5 @@
         "finished": row.finished,
         "attempts_sent": row.attempts_sent,
         "attempts_not_run": row.attempts_not_run,
-        "stages": [
-            {
-                "stage": record.stage,
-                "target": record.target,
-                "data_centre": record.data_centre,
-                "attempts": record.attempts,
-                "seconds": round(record.seconds, 6),
-                "queued_seconds": round(record.queued_seconds, 6),
-                "wasted_seconds": round(record.wasted_seconds, 6),
-            }
-            for record in row.stages
-        ],
+        "stages": answers.stage_documents(row),
     }
--- a/traystall/gateway/runner.py
+++ b/traystall/gateway/runner.py
@@ -9,7 +9,7 @@
 from traystall.core.exceptions import RpcError
 from traystall.core.logs import decision
 from traystall.core.serialization import digest
-from traystall.gateway import problems
+from traystall.gateway import answers, problems
 from traystall.gateway.context import GatewayContext
 from traystall.gateway.ledger import LedgerUnavailable
 from traystall.gateway.lookups import LookUps
@@ -82,7 +82,7 @@
             reply = await self._stages.run(run)
             results[stage.name] = reply.result
         row.finished = True
-        return await self._finish(row, make_answer(row, results[stage.name]))
+        return await self._finish(row, answers.whole_document(row, results[stage.name]))
 
     async def _finish(self, row, answer):
         if row.claimed:
@@ -253,25 +253,3 @@
         self._context.ledger.release_later(
             ReleaseRequest(customer=row.customer, key=row.key, claim_id=row.claim_id)
         )
-
-
-def make_answer(row: RequestRow, result: dict) -> dict:
-    """Return the answer document: result, where each stage ran, and what it cost."""
-    return {
-        "request": row.request_id,
-        "status": "complete",
-        "result": result,
-        "stages": [
-            {
-                "stage": record.stage,
-                "target": record.target,
-                "data_centre": record.data_centre,
-                "attempts": record.attempts,
-                "seconds": round(record.seconds, 6),
-                "queued_seconds": round(record.queued_seconds, 6),
-                "wasted_seconds": round(record.wasted_seconds, 6),
-                "tokens": record.tokens,
-            }
-            for record in row.stages
-        ],
-    }
