Measure an idle gateway

Cause: the capacity page needs a gateway's own cost of control.

Change: a slope over gateways in a data centre.

Ruled out: nothing.

Conclusion: for docs/CAPACITY.md.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -1,6 +1,6 @@
 """Measure the slopes behind docs/CAPACITY.md, each at three sizes or more.
 
-Run with: python -m benchmarks.slopes NAME, where NAME is one of subscribers,
+Run with: python -m benchmarks.slopes NAME, where NAME is one of subscribers, gateways,
 customers, claims, tokens, routing, histograms, failover, restart, or all. CPU and memory
 are the operating system's own figures of the daemon's process; bytes are
 counted where frames are written and read.
@@ -195,6 +195,30 @@
     return max(0.0, last - accepted)
 
 
+# ---- gateways ----
+
+
+def gateways():
+    """A gateway without requests: CPU, bytes and memory, by gateways in a data centre.
+
+    The hive's bundle has ten targets in each data centre; each is asked every second.
+    """
+    for count in (1, 2, 4):
+        with Cluster("hive", gateways_per_place=count, log_level="warning") as cluster:
+            time.sleep(3.0)
+            pid, address = cluster.gateways[0].popen.pid, cluster.gateway_addresses[0]
+            before = cpu_seconds(pid), rpc_bytes(address), time.perf_counter()
+            time.sleep(STEADY_SECONDS * 2)
+            seconds = time.perf_counter() - before[2]
+            cpu = (cpu_seconds(pid) - before[0]) / seconds * 100
+            sent = (rpc_bytes(address) - before[1]) / seconds
+            print(
+                f"gateways a data centre {count}  cpu {cpu:5.2f} %  control {sent / 1000:5.2f} KB/s"
+                f"  rss {resident_mb(pid):5.1f} MB",
+                flush=True,
+            )
+
+
 # ---- customers ----
 
 
@@ -465,6 +489,7 @@
 
 SLOPES = {
     "subscribers": subscribers,
+    "gateways": gateways,
     "customers": customers_slope,
     "claims": claims,
     "tokens": tokens,
