--- a/tests/processes/test_thin_path.py
+++ b/tests/processes/test_thin_path.py
@@ -94,6 +94,18 @@
     assert (final["status"], final["count"]) == ("complete", 5)
 
 
+def test_fake_engines_publish_cache_events_with_gaps(cluster):
+    for number in range(40):
+        cluster.ask("nightly-report", "coop-hsinchu", {"input": f"n{number}", "max_tokens": 1})
+    sequences = [
+        event["sequence"]
+        for name in cluster.pool("traystall-pool")
+        for event in json.loads(get(cluster.targets[name], "/v1/cache/events")[1])["events"]
+    ]
+    assert sequences
+    assert all(sequence % 7 for sequence in sequences)
+
+
 def test_explain_tells_where_stages_ran(cluster):
     _, _, answer = cluster.ask("quick-reading", "coop-hsinchu", gateway=1)
     code, output, _ = cluster.cli("explain", answer["request"], "--output", "json")
--- a/tests/support/fake_targets.py
+++ b/tests/support/fake_targets.py
@@ -13,6 +13,7 @@
 
 import msgspec
 import uvloop
+import xxhash
 from aiohttp import web
 
 from traystall.gateway.adapters.base import (
@@ -25,6 +26,9 @@
 )
 
 _MAX_RECORDS = 200_000
+_MAX_EVENTS = 1000
+# Every so many cache events one is lost, as real engines lose some.
+_EVENT_GAP = 7
 
 
 class FakeSpec(msgspec.Struct):
@@ -106,11 +110,14 @@
         self.models = list(spec.models)
         self.busy: dict[str, float] = {}
         self.cancelled = 0
+        self.events: list[dict] = []
+        self.event_count = 0
         self.reported = (0, 0)
 
     def app(self):
         app = web.Application(client_max_size=64 * 1024 * 1024)
         app.router.add_get("/v1/state", self.state)
+        app.router.add_get("/v1/cache/events", self.cache_events)
         app.router.add_post("/v1/orders", self.order)
         app.router.add_post("/test/mode", self.set_mode)
         app.router.add_get("/test/records", self.records)
@@ -137,6 +144,19 @@
             await asyncio.sleep(self.mode.load_delay or self.spec.load_delay)
             self.reported = now
 
+    async def cache_events(self, request):
+        """Return the prefix-cache events after a number, late and with gaps."""
+        after = int(request.query.get("after", "0"))
+        return web.json_response({"events": [e for e in self.events if e["sequence"] > after]})
+
+    def note_prefix(self, prompt):
+        """Publish that a prefix is cached, unless this event is one that gets lost."""
+        self.event_count += 1
+        if self.event_count % _EVENT_GAP:
+            prefix = xxhash.xxh64_hexdigest(str(prompt)[:64].encode())
+            event = {"sequence": self.event_count, "kind": "stored", "prefix": prefix}
+            self.events = [*self.events[-_MAX_EVENTS:], event]
+
     async def order(self, request):
         body = await request.json()
         token = (body["term"], body["sequence"])
@@ -245,6 +265,7 @@
         response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
         response.enable_chunked_encoding()
         await response.prepare(request)
+        self.note_prefix(body["prompt"])
         done = len(body["resume_tokens"])
         if self.mode.repeat_tokens:
             done = max(0, done - 2)
