Never give back a claim taken over, never send past its retention

A request that took over a dead gateway's claim after looking its key up gave the claim back if a later stage could not run, and the next resend ran the work again; it also said not-run although the work had run. And claimed work could wait up to 60 s past its deadline for a target, longer than twice a short retention, after which the key may be claimed anew.

Change: a claim that was taken over is never given back and counts as may-have-run; nothing is sent under a claim after nine tenths of its retention, checked right before the first byte leaves, so that a frozen process which thaws sends nothing.

Ruled out: a lower bound on retention in the bundle; it would not help a process that sleeps.

--- a/tests/gateway/test_breakages.py
+++ b/tests/gateway/test_breakages.py
@@ -86,7 +86,7 @@
             return await original(self, row, stage)
         except Exception as error:
             if isinstance(error.__cause__, LedgerUnavailable):
-                row.on_claimed()
+                row.on_claimed(float("inf"))
                 return None
             raise
 
@@ -100,7 +100,7 @@
 
 def sending_not_recorded(patch):
     """An attempt is not recorded as sent before its first byte leaves."""
-    patch.setattr(StageRunner, "_on_sending", lambda self, row: None)
+    patch.setattr(StageRunner, "_on_sending", lambda self, run: None)
 
 
 def single(fault, kind, both=False):
--- a/tests/gateway/test_fault_matrix.py
+++ b/tests/gateway/test_fault_matrix.py
@@ -6,8 +6,10 @@
 """
 
 import asyncio
+import time
 
 import pytest
+from msgspec import structs
 
 from tests.support.gateway_bench import (
     ELSEWHERE,
@@ -17,6 +19,9 @@
     service_stage,
 )
 from tests.support.raw_target import RawTarget
+from traystall.gateway.adapters import kinds
+from traystall.tables.entities import Stage
+from traystall.tables.targets import Breaker
 
 SINGLE_FAULTS = (
     "none",
@@ -238,6 +243,62 @@
     asyncio.run(scenario())
 
 
+def test_claim_taken_over_from_a_doubt_is_never_given_back():
+    """The work ran, a resend learns so, and then a later stage can't run: no third run."""
+
+    async def scenario():
+        target = RawTarget("service", ["reset without an answer"])
+        leaving = RawTarget("service", ["refused leaving"])
+        stages = [service_stage(repeatable=False), Stage("after", "pool2", "service", path="/x")]
+        targets = {("pool", PLACE): [target], ("pool2", PLACE): [leaving]}
+        async with GatewayBench(targets, stages, deadline=1.0, lookup="/look") as bench:
+            for _ in range(4):
+                bench.context.targets.pool("pool2")[0].breaker = Breaker()
+                status, document = await bench.ask("mark", "key")
+                assert status != 200
+                assert document["run"] == "may-have-run"
+            assert len(target.runs) == 1
+            assert bench.ledger.released == []
+
+    asyncio.run(scenario())
+
+
+def test_claimed_work_is_not_sent_after_its_retention():
+    """The key may be claimed anew after twice the retention: until then all must be sent."""
+
+    async def scenario():
+        target = RawTarget("service")
+        stage = service_stage(repeatable=False)
+        bench = GatewayBench({("pool", PLACE): [target]}, [stage], deadline=5.0)
+        bench.pipeline = structs.replace(bench.pipeline, retention=0.01)
+        bench.ledger.delay = 0.05
+        async with bench:
+            status, document = await bench.ask("mark", "key")
+            assert (status, document["run"], target.runs) == (503, "not-run", [])
+
+    asyncio.run(scenario())
+
+
+def test_frozen_dispatch_is_not_sent_when_it_thaws(monkeypatch):
+    """The process sleeps past the end of its time between choosing a target and sending."""
+
+    async def scenario():
+        target = RawTarget("service")
+        stage = service_stage(repeatable=False)
+        async with GatewayBench({("pool", PLACE): [target]}, [stage], deadline=0.3) as bench:
+            original = kinds.run
+
+            async def frozen(http, call):
+                time.sleep(0.5)  # noqa: ASYNC251 - the whole process stands still.
+                return await original(http, call)
+
+            monkeypatch.setattr("traystall.gateway.stages.kinds.run", frozen)
+            status, document = await bench.ask("mark")
+            assert (status, document["run"], target.runs) == (503, "not-run", [])
+
+    asyncio.run(scenario())
+
+
 def test_same_key_with_another_body_is_refused():
     async def scenario():
         target = RawTarget("service")
--- a/tests/support/gateway_bench.py
+++ b/tests/support/gateway_bench.py
@@ -1,5 +1,6 @@
 """One gateway in this process, over raw targets and an in-memory ledger."""
 
+import asyncio
 import json
 
 import aiohttp
@@ -39,6 +40,7 @@
         self.alive = True
         self.released = []
         self.time = 0.0
+        self.delay = 0.0
 
     async def claim(self, request, seconds):
         if self.mode == "unavailable":
@@ -55,6 +57,7 @@
                 self.time,
             )
         )
+        await asyncio.sleep(self.delay)
         if self.mode == "answer lost":
             raise LedgerUnavailable(in_doubt=True)
         return ClaimReply(
--- a/traystall/gateway/adapters/http.py
+++ b/traystall/gateway/adapters/http.py
@@ -104,8 +104,8 @@
 
     def mark(self):
         if not self.sending:
-            self.sending = True
             self.call.on_sending()
+            self.sending = True
 
 
 async def _mark_sending(session, context, params):
--- a/traystall/gateway/runner.py
+++ b/traystall/gateway/runner.py
@@ -30,6 +30,8 @@
 LINGER_SECONDS = 60.0
 # A claim may take this share of the time left, since the work itself needs some.
 _CLAIM_SHARE = 0.8
+# Work is sent under a claim only in this share of its retention, whatever clocks drift.
+_RETENTION_SHARE = 0.9
 _HOLDERS_WANTED = 2
 _HOLD_SECONDS = 0.5
 _HELD_POLL_SECONDS = 0.2
@@ -77,13 +79,19 @@
                 results=results,
                 record=record,
                 on_token=on_token,
-                run_until=row.deadline + (LINGER_SECONDS if row.claimed else 0.0),
+                run_until=self._run_until(row),
             )
             reply = await self._stages.run(run)
             results[stage.name] = reply.result
         row.finished = True
         return await self._finish(row, answers.whole_document(row, results[stage.name]))
 
+    def _run_until(self, row):
+        """Return how long stages may go on: claimed work lingers, but never past its claim."""
+        if not row.claimed:
+            return row.deadline
+        return min(row.deadline + LINGER_SECONDS, row.claim_ends_at)
+
     async def _finish(self, row, answer):
         if row.claimed:
             await self._settle(row, answer)
@@ -113,6 +121,7 @@
         )
         while True:
             seconds = self._remaining(row) * _CLAIM_SHARE
+            ends_at = clock.monotonic() + row.pipeline.retention * _RETENTION_SHARE
             try:
                 reply = await self._context.ledger.claim(request, seconds)
             except LedgerUnavailable as error:
@@ -121,8 +130,8 @@
                 raise Refusal(problems.LEDGER_UNAVAILABLE, str(error), 2) from error
             decision("claim", request=row.request_id, stage=stage.name, outcome=reply.outcome)
             if reply.outcome == ClaimOutcome.WON:
-                self._require_window(row)
-                row.on_claimed()
+                self._require_window(row, ends_at)
+                row.on_claimed(ends_at)
                 return Claimed()
             if reply.outcome != ClaimOutcome.HELD:
                 return Claimed(answer=await self._answer_of(row, reply))
@@ -148,13 +157,12 @@
         if result is None:
             return None
         decision("claim-settled-by-target", request=row.request_id, stage=stage.name)
-        row.claim_id = reply.claim_id
-        row.on_claimed()
+        row.take_over(reply.claim_id)
         return result
 
-    def _require_window(self, row):
-        """Refuse to dispatch after the deadline: this process may have been frozen meanwhile."""
-        if clock.monotonic() >= row.deadline:
+    def _require_window(self, row, ends_at):
+        """Refuse to dispatch too late: this process may have been frozen meanwhile."""
+        if clock.monotonic() >= min(row.deadline, ends_at):
             self._release(row)
             raise Refusal(problems.TOO_LATE, "The claim came after the deadline.")
 
--- a/traystall/gateway/stages.py
+++ b/traystall/gateway/stages.py
@@ -1,7 +1,7 @@
 """Run one stage of a request: wait for a target, make attempts, learn from each."""
 
 from traystall.core import clock, metrics
-from traystall.core.exceptions import TargetError
+from traystall.core.exceptions import TargetError, TargetNotRun
 from traystall.core.ids import attempt_id
 from traystall.core.logs import decision
 from traystall.gateway import problems
@@ -152,14 +152,17 @@
             budget=budget,
             repeatable=run.repeatable,
             key=row.key if not run.repeatable else "",
-            on_sending=lambda: self._on_sending(row),
+            on_sending=lambda: self._on_sending(run),
             on_headers=lambda headers: self._on_headers(target, headers),
             on_token=lambda index, text: self._on_token(run, target, now, index, text),
             tokens=run.tokens,
         )
 
-    def _on_sending(self, row):
-        row.attempts_sent += 1
+    def _on_sending(self, run):
+        """Record that a byte may leave; refuse if the time ended while this process slept."""
+        if clock.monotonic() >= run.run_until:
+            raise TargetNotRun("its time ended before it was sent")
+        run.row.attempts_sent += 1
 
     def _on_token(self, run, target, started_at, index, text):
         """Pass a token on; learn from the pace, and give up if the rest can't come in time."""
--- a/traystall/tables/requests.py
+++ b/traystall/tables/requests.py
@@ -44,6 +44,10 @@
     claim_id: str = ""
     claimed: bool = False
     doubtful_before_claim: int = 0
+    # Nothing may be sent under the claim after this time, in monotonic seconds.
+    claim_ends_at: float = float("inf")
+    # Whether the claim is an earlier request's, whose work is known to have run.
+    took_over: bool = False
     # Attempts of which a byte may have left, and those of them proven not run.
     attempts_sent: int = 0
     attempts_not_run: int = 0
@@ -58,19 +62,27 @@
         """Return what may truthfully be said of the request now."""
         if self.finished:
             return RunState.RAN
-        if self.attempts_sent > self.attempts_not_run:
+        if self.took_over or self.attempts_sent > self.attempts_not_run:
             return RunState.MAY_HAVE_RUN
         return RunState.NOT_RUN
 
-    def on_claimed(self) -> None:
-        """Note that this request holds its claim from here on."""
+    def on_claimed(self, ends_at: float) -> None:
+        """Note that this request holds its claim, and until when it may send under it."""
         self.claimed = True
+        self.claim_ends_at = ends_at
         self.doubtful_before_claim = self.attempts_sent - self.attempts_not_run
 
+    def take_over(self, claim_id: str) -> None:
+        """Go on under an earlier request's claim, whose work has run."""
+        self.claim_id = claim_id
+        self.claimed = True
+        self.took_over = True
+
     @property
     def may_have_run_since_claim(self) -> bool:
         """Return whether anything may have run under the claim."""
-        return self.attempts_sent - self.attempts_not_run > self.doubtful_before_claim
+        sent = self.attempts_sent - self.attempts_not_run > self.doubtful_before_claim
+        return sent or self.took_over
 
     def is_repeatable(self, stage) -> bool:
         """Return whether an attempt at `stage` may be made again after a doubt."""
