--- a/traystall/gateway/relay.py
+++ b/traystall/gateway/relay.py
@@ -98,7 +98,7 @@
             if name.lower() not in _HOP_HEADERS
         }
         headers[RELAYED_HEADER] = self._context.settings.instance
-        headers[DEADLINE_HEADER] = str(int(envelope.deadline_seconds * 1000))
+        headers[DEADLINE_HEADER] = str(max(1, int(envelope.deadline_seconds * 1000)))
         return headers
 
     async def _pass_on(self, request, answer):
