Give back a slot that is granted as its waiter times out

Cause: reading the dispatcher as a newcomer: when a slot was granted in the same turn of the event loop in which the waiter's time ended, the time-out won and the slot stayed taken for ever. Under a burst, where most waits end that way, a gateway would lose its shares one by one until its restart.

Change: the time-out gives the slot back, as a cancellation did already.

Ruled out: an own timer beside the future; the same turn of the loop exists there too.

--- a/traystall/gateway/dispatch.py
+++ b/traystall/gateway/dispatch.py
@@ -47,6 +47,8 @@
             async with asyncio.timeout(max(0.0, waiter.latest_start - clock.monotonic())):
                 return await waiter.grant
         except TimeoutError as error:
+            # A slot may have been granted in the very turn in which the time ended.
+            self._give_back(waiter)
             raise TooLateToStart("No target had room in time.") from error
         except asyncio.CancelledError:
             self._give_back(waiter)
@@ -108,7 +110,7 @@
         waiter.grant.set_result(choice.row)
 
     def _give_back(self, waiter):
-        """Return a slot that was granted at the moment the waiter was cancelled."""
+        """Return a slot that was granted at the moment the waiter gave up."""
         grant = waiter.grant
         if grant.done() and not grant.cancelled() and grant.exception() is None:
             row = grant.result()
