--- a/traystall/catalog/models.py
+++ b/traystall/catalog/models.py
@@ -7,6 +7,17 @@
 from traystall.catalog.deltas import Delta
 
 
+class NumberRule(StrEnum):
+    """Name the rule by which a catalog takes numbers.
+
+    `exact`: one content for each number, the same answer for ever, all others refused.
+    `highest`: the highest number wins; any other is acknowledged and changes nothing.
+    """
+
+    EXACT = "exact"
+    HIGHEST = "highest"
+
+
 class ApplyOutcome(StrEnum):
     """Name what became of an apply."""
 
@@ -26,6 +37,15 @@
     delta: Delta
 
 
+class SupersedeBundle(msgspec.Struct, frozen=True, tag="supersede"):
+    """Ask for a bundle to become revision `number` if it is the highest; else change nothing."""
+
+    number: int
+    digest: bytes
+    operator: str
+    delta: Delta
+
+
 class Revision(msgspec.Struct, frozen=True):
     """Remember which content won a number, and who sent it."""
 
--- a/traystall/catalog/state.py
+++ b/traystall/catalog/state.py
@@ -8,7 +8,13 @@
 import msgspec
 
 from traystall.catalog.deltas import EMPTY_DIGEST, Delta, apply_delta, entities_digest
-from traystall.catalog.models import ApplyBundle, ApplyOutcome, ApplyResult, Revision
+from traystall.catalog.models import (
+    ApplyBundle,
+    ApplyOutcome,
+    ApplyResult,
+    Revision,
+    SupersedeBundle,
+)
 from traystall.core.serialization import pack, unpack
 
 # Deltas kept in memory for gateways that are a little behind.
@@ -51,13 +57,24 @@
             return decided
         if command.delta.base != self.digest:
             return ApplyResult(ApplyOutcome.REBASE, None, self.number)
-        self.entities = apply_delta(self.entities, self.digest, command.delta)
-        self._remember(command.delta)
-        self.digest = command.delta.result
-        self.number = command.number
-        revision = Revision(command.number, command.digest, command.operator)
-        self._history[command.number] = revision
-        return ApplyResult(ApplyOutcome.ACCEPTED, revision, self.number)
+        return self._accept(command)
+
+    def lookup_highest(self, number: int) -> ApplyResult | None:
+        """Return the answer to a number that is not above the one held, or None."""
+        if number > self.number:
+            return None
+        return ApplyResult(ApplyOutcome.ACCEPTED, None, self.number, resent=True)
+
+    def supersede(self, command: SupersedeBundle) -> ApplyResult:
+        """Decide one apply under the rule that the highest number wins."""
+        decided = self.lookup_highest(command.number)
+        if decided is not None:
+            return decided
+        if command.delta.base != self.digest:
+            return ApplyResult(ApplyOutcome.REBASE, None, self.number)
+        # Lower numbers are never asked about again under this rule.
+        self._history.clear()
+        return self._accept(command)
 
     def delta_since(self, digest: bytes) -> Delta | None:
         """Return one delta from the revision `digest` to the newest, or None if not kept."""
@@ -89,6 +106,15 @@
         self.number = max(self._history, default=0)
         self._deltas = {}
 
+    def _accept(self, command):
+        self.entities = apply_delta(self.entities, self.digest, command.delta)
+        self._remember(command.delta)
+        self.digest = command.delta.result
+        self.number = command.number
+        revision = Revision(command.number, command.digest, command.operator)
+        self._history[command.number] = revision
+        return ApplyResult(ApplyOutcome.ACCEPTED, revision, self.number)
+
     def _remember(self, delta):
         if delta.base == delta.result:
             return
--- a/traystall/consensus/replica.py
+++ b/traystall/consensus/replica.py
@@ -309,6 +309,10 @@
             return self._round_started.get(self._round, float("-inf"))
         return reached
 
+    def heard_at(self, identity: str) -> float:
+        """Return when the round began that a peer answered last; minus infinity for never."""
+        return self._heard_at(identity)
+
     def _heard_at(self, voter):
         progress = self.progress.get(voter)
         return progress.acked_round_at if progress else float("-inf")
--- a/traystall/control/daemon.py
+++ b/traystall/control/daemon.py
@@ -9,22 +9,29 @@
 import aiomisc
 from aiohttp import web
 
+from traystall.catalog.models import NumberRule
 from traystall.conf.settings import Settings, load_or_exit
-from traystall.consensus.models import Timing
+from traystall.consensus.models import MemberRecord, Timing
 from traystall.consensus.replica import Replica
 from traystall.control.exceptions import ControlError
 from traystall.control.formation import InitialMember, form_group
+from traystall.control.leader import LeaderCalls
 from traystall.control.members import MemberChanges
-from traystall.control.node import Node
+from traystall.control.node import DISK_RETRY_SECONDS, Node
 from traystall.control.orders import Orderer
+from traystall.control.repair import GroupRepair
 from traystall.control.service import ControlService
 from traystall.control.settings import SETTINGS, check_control
 from traystall.control.state import StateMachine
 from traystall.control.subscribers import Subscribers
 from traystall.core import clock, daemon, logs
-from traystall.core.exceptions import ConsensusError, RpcError
+from traystall.core.exceptions import ConsensusError, DiskFailed, RpcError
 from traystall.core.health import add_health_routes
+from traystall.registry.follower import RegistryFollower
+from traystall.registry.service import RegistryService
 from traystall.rpc.client import LinkIdentity, LinkPool
+from traystall.rpc.gen.wire.ttypes import JoinRequest, RegistryRequest
+from traystall.rpc.records import to_wire_member
 from traystall.rpc.server import RpcServer
 from traystall.storage.folder import DataFolder
 
@@ -47,19 +54,25 @@
         """Open the data folder, join the group and begin to serve."""
         settings = self._settings
         folder = DataFolder(settings.data_folder)
-        loop = asyncio.get_running_loop()
-        recovered = await loop.run_in_executor(
-            None, folder.open, settings.cluster, settings.instance
-        )
+        recovered = await self._open_folder(folder)
         identity = folder.identity.name
         self._links = LinkPool(LinkIdentity(settings.cluster, ROLE, identity, settings.secret))
         self.node = self._make_node(identity, folder, recovered)
         subscribers = Subscribers(self.node, self._links, self._address)
         self._members = MemberChanges(self.node)
         self._orderer = Orderer(self.node)
-        service = ControlService(self.node, subscribers, self._members, settings.operator_token)
+        self.service = ControlService(
+            self.node,
+            subscribers,
+            self._members,
+            settings.operator_token,
+            NumberRule(settings.number_rule),
+        )
+        self.leader = LeaderCalls(self.node, self.service, self._links)
+        self._start_registry(identity)
+        repair = self._make_repair(identity)
         self._server = RpcServer(
-            settings.rpc_listen, settings.cluster, settings.secret, service.handle
+            settings.rpc_listen, settings.cluster, settings.secret, self.service.handle
         )
         await self._server.start()
         self.node.start()
@@ -68,6 +81,10 @@
         self._background.start(self._form())
         self._background.start(subscribers.share_forever())
         self._background.start(self._orderer.run_forever())
+        self._background.start(self._registry_follower.follow_forever())
+        if repair is not None:
+            self._background.start(repair.lead_forever())
+            self._background.start(repair.ask_forever())
         logger.info("started", extra={"identity": identity})
 
     async def until_stopped(self, stopping: asyncio.Event) -> None:
@@ -86,6 +103,48 @@
         await self._links.close()
         await self._runner.cleanup()
 
+    async def _open_folder(self, folder):
+        """Open the data folder; a disk that refuses is asked again, damage ends the daemon."""
+        settings = self._settings
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                return await loop.run_in_executor(
+                    None, folder.open, settings.cluster, settings.instance
+                )
+            except DiskFailed as error:
+                logger.error("data folder not opened", extra={"why": str(error)})
+                await asyncio.sleep(DISK_RETRY_SECONDS)
+
+    def control_addresses(self) -> list[str]:
+        """Return the other control daemons that this one knows of."""
+        members = {member.address for member in self.node.replica.members}
+        known = members | set(self._settings.join)
+        return sorted(known - {self._address})
+
+    def _start_registry(self, identity):
+        self.registry = RegistryService(
+            lambda: [to_wire_member(member) for member in self.node.replica.members]
+        )
+        self.service.add_handler(RegistryRequest, self.registry.watch)
+        follower = RegistryFollower(self._links, identity, self.control_addresses)
+        follower.merge = self._merge_report
+        follower.saw = self.registry.registry.saw
+        self._registry_follower = follower
+
+    def _merge_report(self, report, seen_at):
+        if self.registry.registry.merge(report, seen_at):
+            self.registry.wake()
+
+    def _make_repair(self, identity):
+        settings = self._settings
+        if not settings.self_repair:
+            return None
+        own = MemberRecord(identity, self._address, settings.data_centre, False)
+        repair = GroupRepair(self.node, self._links, own, self.control_addresses)
+        self.service.add_handler(JoinRequest, repair.join)
+        return repair
+
     def _make_node(self, identity, folder, recovered):
         settings = self._settings
         timing = Timing(settings.election_min, settings.election_max, settings.heartbeat)
@@ -114,6 +173,8 @@
             InitialMember(name, address, settings.initial_places.get(name, ""))
             for name, address in settings.initial_members.items()
         ]
+        if not initial:
+            return  # This daemon joins a group that exists.
         await form_group(self.node, settings.instance, initial, self._links)
 
     async def _start_http(self):
--- a/traystall/control/members.py
+++ b/traystall/control/members.py
@@ -11,6 +11,7 @@
 from traystall.core.exceptions import ConsensusError, RpcRefused
 from traystall.core.logs import decision
 from traystall.rpc.gen.wire import ttypes
+from traystall.rpc.records import to_wire_member
 
 _CHANGE_TIMEOUT = 5.0
 _CATCH_UP_TIMEOUT = 60.0
@@ -112,15 +113,7 @@
         replica = self._node.replica
         matched = {name: p.match_index for name, p in replica.progress.items()}
         return ttypes.MembersReply(
-            members=[
-                ttypes.Member(
-                    identity=m.identity,
-                    address=m.address,
-                    data_centre=m.data_centre,
-                    voter=m.voter,
-                )
-                for m in replica.members
-            ],
+            members=[to_wire_member(member) for member in replica.members],
             leader=self._node.leader_address(),
             commit=replica.commit_index,
             matched=matched,
--- a/traystall/control/node.py
+++ b/traystall/control/node.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import logging
 from collections.abc import Callable
 
@@ -20,6 +21,8 @@
 from traystall.storage.folder import DataFolder
 
 TICK_SECONDS = 0.05
+# How long a disk that refused a write is left alone.
+DISK_RETRY_SECONDS = 0.2
 # A snapshot is taken after this many applied entries.
 SNAPSHOT_EVERY = 4096
 
@@ -181,21 +184,38 @@
         self._jobs.put_nowait(job)
 
     async def _store_forever(self):
-        loop = asyncio.get_running_loop()
         while True:
             jobs = [await self._jobs.get()]
             self._storage_busy = True
             while not self._jobs.empty():
                 jobs.append(self._jobs.get_nowait())
             writes = [write for job in jobs for write in job.writes]
-            try:
-                await loop.run_in_executor(None, self._folder.write, writes)
-            except DiskFailed as error:
-                self._fail_for_good(error)
-                return
+            await self._write_until_synced(writes)
             self._storage_busy = False
             self._after_sync(jobs)
 
+    async def _write_until_synced(self, writes):
+        """Return once the disk has taken `writes`; until then nothing that depends on them leaves.
+
+        A leader whose disk fails goes on as long as the others confirm its
+        entries; it is only its own copy that doesn't count.
+        """
+        loop = asyncio.get_running_loop()
+        step = functools.partial(self._folder.write, writes)
+        failures = 0
+        while True:
+            try:
+                await loop.run_in_executor(None, step)
+                break
+            except DiskFailed as error:
+                failures += 1
+                if failures == 1:
+                    logger.error("disk failed", extra={"why": str(error)})
+            await asyncio.sleep(DISK_RETRY_SECONDS)
+            step = self._folder.retry
+        if failures:
+            logger.warning("disk works again", extra={"failures": failures})
+
     def _after_sync(self, jobs):
         for job in jobs:
             self._send(job.messages)
@@ -255,11 +275,6 @@
             self.pump()
             await asyncio.sleep(TICK_SECONDS)
 
-    def _fail_for_good(self, error):
-        logger.critical("disk failed", extra={"why": str(error)})
-        if not self.failed.done():
-            self.failed.set_exception(error)
-
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
--- a/traystall/control/service.py
+++ b/traystall/control/service.py
@@ -4,7 +4,7 @@
 import logging
 
 from traystall.catalog.deltas import entities_digest, make_delta
-from traystall.catalog.models import ApplyBundle, ApplyOutcome
+from traystall.catalog.models import ApplyBundle, ApplyOutcome, NumberRule, SupersedeBundle
 from traystall.control.exceptions import CommitInDoubt, NoLeader
 from traystall.control.members import MemberChanges
 from traystall.control.node import Node
@@ -15,6 +15,7 @@
 from traystall.core.serialization import pack
 from traystall.ledger.models import Claim, Release, Settle
 from traystall.rpc.gen.wire import ttypes
+from traystall.rpc.records import to_wire_member
 
 COMMIT_TIMEOUT = 3.0
 _MAX_REBASES = 20
@@ -27,12 +28,18 @@
     """Dispatch wire requests to the replicated state and the subscribers."""
 
     def __init__(
-        self, node: Node, subscribers: Subscribers, members: MemberChanges, operator_token: str
+        self,
+        node: Node,
+        subscribers: Subscribers,
+        members: MemberChanges,
+        operator_token: str,
+        rule: NumberRule = NumberRule.EXACT,
     ):
         self._node = node
         self._subscribers = subscribers
         self._members = members
         self._operator_token = operator_token
+        self._rule = rule
         self._handlers = {
             ttypes.ProbeRequest: self._probe,
             ttypes.ApplyRequest: self._apply,
@@ -44,8 +51,13 @@
             ttypes.ReleaseRequest: self._release,
             ttypes.MembersRequest: self._change_members,
             ttypes.HandoverRequest: self._handover,
+            ttypes.ReadRequest: self._read,
         }
 
+    def add_handler(self, kind, handler) -> None:
+        """Serve requests of the generated class `kind` by `handler`."""
+        self._handlers[kind] = handler
+
     async def handle(self, request):
         """Return the reply to one request; consensus messages get none."""
         handler = self._handlers.get(type(request))
@@ -98,10 +110,15 @@
     async def _apply_once(self, request):
         catalog = self._node.state.catalog
         self._require_lease()
-        decided = catalog.lookup(request.number, request.digest)
+        if self._rule is NumberRule.HIGHEST:
+            decided = catalog.lookup_highest(request.number)
+            kind = SupersedeBundle
+        else:
+            decided = catalog.lookup(request.number, request.digest)
+            kind = ApplyBundle
         if decided is not None:
             return decided
-        command = ApplyBundle(
+        command = kind(
             number=request.number,
             digest=request.digest,
             operator=request.operator,
@@ -109,6 +126,14 @@
         )
         return await self._node.propose(pack(command), COMMIT_TIMEOUT)
 
+    async def _read(self, request):
+        """Return the newest revision, or refuse: another leader may know a newer one."""
+        self._require_lease()
+        catalog = self._node.state.catalog
+        return ttypes.ReadReply(
+            number=catalog.number, digest=catalog.digest, entities=catalog.entities
+        )
+
     async def _status(self, request):
         self._require_operator(request.token)
         replica = self._node.replica
@@ -201,16 +226,6 @@
             raise NoLeader(self._node.leader_address())
 
 
-def to_wire_member(member) -> ttypes.Member:
-    """Return a member record as a wire message."""
-    return ttypes.Member(
-        identity=member.identity,
-        address=member.address,
-        data_centre=member.data_centre,
-        voter=member.voter,
-    )
-
-
 def _to_apply_reply(result):
     revision = result.revision
     return ttypes.ApplyReply(
--- a/traystall/control/settings.py
+++ b/traystall/control/settings.py
@@ -1,6 +1,7 @@
 """Settings of the control daemon."""
 
-from traystall.conf.checks import Problem, check_address, check_positive
+from traystall.catalog.models import NumberRule
+from traystall.conf.checks import Problem, check_address, check_addresses, check_positive
 from traystall.conf.settings import Setting, Settings
 
 SETTINGS = (
@@ -14,7 +15,22 @@
     Setting(
         "initial_members",
         dict,
-        "NAME=IP:PORT pairs, comma separated, of the daemons that form the group at first.",
+        "NAME=IP:PORT pairs, comma separated, of the daemons that form the group at first; "
+        "empty on an instance that joins a group.",
+        "",
+    ),
+    Setting("join", list, "IP:PORT of control daemons to ask for admission.", ""),
+    Setting(
+        "self_repair",
+        bool,
+        "Whether newcomers are let in and lost members taken out without an operator.",
+        "false",
+    ),
+    Setting(
+        "number_rule",
+        str,
+        "exact: one content a number; highest: the highest number wins, others change nothing.",
+        "exact",
     ),
     Setting("initial_places", dict, "NAME=DATA_CENTRE pairs of the initial members.", ""),
     Setting("secret", str, "Shared secret that signs links between processes.", "", secret=True),
@@ -35,9 +51,22 @@
         problems += check_address("rpc_advertise", settings.rpc_advertise)
     for name, address in settings.initial_members.items():
         problems += check_address(f"initial_members[{name}]", address)
-    if not settings.initial_members:
+    problems += check_addresses("join", settings.join)
+    if not settings.initial_members and not settings.join:
+        problems.append(
+            Problem(
+                "settings.E020",
+                "initial_members and join are both empty.",
+                "Name every first member, or whom to ask for admission.",
+            )
+        )
+    if settings.number_rule not in {rule.value for rule in NumberRule}:
         problems.append(
-            Problem("settings.E020", "initial_members is empty.", "Name every first member.")
+            Problem(
+                "settings.E022",
+                f"number_rule is '{settings.number_rule}'.",
+                "Set it to exact or highest.",
+            )
         )
     problems += check_positive("heartbeat", settings.heartbeat)
     problems += check_positive("snapshot_every", settings.snapshot_every)
--- a/traystall/control/state.py
+++ b/traystall/control/state.py
@@ -2,13 +2,13 @@
 
 import msgspec
 
-from traystall.catalog.models import ApplyBundle
+from traystall.catalog.models import ApplyBundle, SupersedeBundle
 from traystall.catalog.state import Catalog
 from traystall.core.serialization import pack, unpack
 from traystall.ledger.models import Claim, Release, Settle
 from traystall.ledger.state import Ledger
 
-Command = ApplyBundle | Claim | Settle | Release
+Command = ApplyBundle | SupersedeBundle | Claim | Settle | Release
 
 
 class StateSnapshot(msgspec.Struct, frozen=True):
@@ -30,6 +30,8 @@
         command = unpack(data, Command)
         if isinstance(command, ApplyBundle):
             return self.catalog.apply(command)
+        if isinstance(command, SupersedeBundle):
+            return self.catalog.supersede(command)
         if isinstance(command, Claim):
             return self.ledger.claim(command)
         if isinstance(command, Settle):
--- a/traystall/core/exceptions.py
+++ b/traystall/core/exceptions.py
@@ -47,7 +47,7 @@
 
 
 class DiskFailed(StorageError):
-    """Report a write or sync that failed; the daemon must stop and not retry it."""
+    """Report a write or sync that failed; what it was to make durable is still owed."""
 
 
 class ConsensusError(TraystallError):
--- /dev/null
+++ b/traystall/passthrough/attempt.py
@@ -0,0 +1,115 @@
+"""One attempt at one target: send, read the head of the right answer, read what follows."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from traystall.core import clock
+from traystall.passthrough.board import TargetView
+from traystall.passthrough.connection import ResponseHead, TargetConnection
+from traystall.passthrough.dialect import HeaderNames
+from traystall.passthrough.exceptions import NoAnswer
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Answers of earlier requests that may come in the place where one is due.
+_MAX_STRAY_ANSWERS = 2
+_MISDIRECTED = 421
+_MAX_STRAY_BYTES = 1024 * 1024
+# Statuses by which a gateway promises that a request has not run.
+PROMISES = (408, 421, 429, 503)
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """Hold a target's whole answer."""
+
+    head: ResponseHead
+    body: bytes
+
+
+class Attempt:
+    """Hold one exchange with a target; use as an asynchronous context manager.
+
+    Leaving it gives the connection back if the answer was read whole, and
+    closes it otherwise, which makes the target drop the work.
+    """
+
+    def __init__(self, view: TargetView, names: HeaderNames, request_id: str | None):
+        self.view = view
+        self.head: ResponseHead | None = None
+        self._names = names
+        self._request_id = request_id
+        self._connection: TargetConnection | None = None
+        self._whole = False
+        self.was_sent = False
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, kind, error, traceback):
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        if self._whole and error is None:
+            self.view.connections.release(connection, self.head)
+        else:
+            self.view.connections.discard(connection)
+
+    async def open(self, fresh_within: float) -> None:
+        """Get a connection; raise ConnectFailed if there is none: nothing was sent."""
+        self._connection = await self.view.connections.acquire(fresh_within)
+
+    def send(self, data: bytes) -> None:
+        """Send the request. From here on it may have run."""
+        self._connection.send(data)
+        self.was_sent = True
+
+    async def read_head(self) -> ResponseHead:
+        """Return the head of the answer to this request; skip answers of earlier ones."""
+        for _ in range(_MAX_STRAY_ANSWERS):
+            head = await self._connection.head()
+            if self._belongs(head):
+                self.head = head
+                return head
+            if self._connection.requests < 2 or head.until_close:
+                break
+            await self._connection.body(_MAX_STRAY_BYTES)
+        raise NoAnswer("The answer belongs to another request.", sent=True)
+
+    async def read_whole(self) -> Answer:
+        """Return the whole answer."""
+        return await self.read_whole_after(await self.read_head())
+
+    async def read_whole_after(self, head: ResponseHead) -> Answer:
+        """Return the whole answer whose head was read."""
+        body = await self._connection.body(MAX_ANSWER_BYTES)
+        self._whole = True
+        return Answer(head, body)
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it comes."""
+        while chunk := await self._connection.chunk():
+            yield chunk
+        self._whole = True
+
+    def has_not_run(self) -> bool:
+        """Return whether the target says that it has not run the request."""
+        head = self.head
+        if head is None:
+            return False
+        return head.status == _MISDIRECTED or head.get(self._names.not_run) is not None
+
+    def _belongs(self, head):
+        if self._request_id is None:
+            return True
+        found = head.get(self._names.request_id)
+        if found is None:
+            # Refusals may come without it; a success must name its request.
+            return not 200 <= head.status < 300
+        return found == self._request_id
+
+
+async def before(deadline: float, awaitable):
+    """Return what `awaitable` gives by `deadline` (monotonic seconds); raise TimeoutError."""
+    async with asyncio.timeout(max(0.0, deadline - clock.monotonic())):
+        return await awaitable
--- /dev/null
+++ b/traystall/passthrough/board.py
@@ -0,0 +1,153 @@
+"""Targets as one gateway sees them: what they report, what it has running there, how they do."""
+
+import msgspec
+import xxhash
+
+from traystall.passthrough.pool import ConnectionPool
+from traystall.registry.models import RegisteredState, TargetReport
+from traystall.registry.table import Registry
+
+FAILURES_TO_AVOID = 2
+_FIRST_AVOID_SECONDS = 0.4
+_MAX_AVOID_SECONDS = 4.0
+# Weight of the newest duration in the learned mean.
+_LEARNING = 0.2
+# A ready target that has been silent this long, in seconds, is used only if no other is left.
+SILENT_SECONDS = 4.0
+
+
+class TargetView(msgspec.Struct):
+    """Hold one life of a target with what this gateway has learned of it.
+
+    Durations are seconds, times monotonic seconds; `ratio` is how long the
+    target takes compared with others of its pool.
+    """
+
+    report: TargetReport
+    connections: ConnectionPool
+    running: int = 0
+    running_tokens: int = 0
+    mean_seconds: float = 0.0
+    failures: int = 0
+    avoid_until: float = float("-inf")
+    avoided: int = 0
+    is_misplaced: bool = False
+
+    @property
+    def identity(self) -> str:
+        """Return the name of this life of the target."""
+        return self.report.identity
+
+    def on_success(self, seconds: float) -> None:
+        """Learn from an answer."""
+        self.failures = 0
+        self.avoided = 0
+        if self.mean_seconds:
+            self.mean_seconds += _LEARNING * (seconds - self.mean_seconds)
+        else:
+            self.mean_seconds = seconds
+
+    def on_failure(self, now: float, random) -> None:
+        """Count a failure; keep work away for a growing time after several in a row."""
+        self.failures += 1
+        if self.failures < FAILURES_TO_AVOID:
+            return
+        seconds = min(_MAX_AVOID_SECONDS, _FIRST_AVOID_SECONDS * 2**self.avoided)
+        self.avoided += 1
+        self.avoid_until = now + seconds * random.uniform(0.75, 1.25)
+
+    def on_unreachable(self, now: float, random) -> None:
+        """Keep work away at once: no connection came up."""
+        self.failures = max(self.failures, FAILURES_TO_AVOID - 1)
+        self.on_failure(now, random)
+
+
+class TargetBoard:
+    """Hold the targets of all pools, fed by the registry."""
+
+    def __init__(self, random, max_connections):
+        self.registry = Registry()
+        self._random = random
+        self._max_connections = max_connections
+        self._views: dict[str, TargetView] = {}
+        self._pools: dict[str, list[TargetView]] = {}
+        self.on_change: list = []
+
+    def merge(self, report: TargetReport, seen_at: float) -> None:
+        """Take in what a control daemon tells of a target."""
+        if not self.registry.merge(report, seen_at):
+            return
+        row = self.registry.get(report.identity)
+        view = self._views.get(report.identity)
+        if row.report.state is RegisteredState.GONE:
+            self._drop(report.identity)
+        elif view is None:
+            limit = self._max_connections
+            pool = ConnectionPool(row.report.address, lambda: limit(row.report.pool))
+            self._views[report.identity] = TargetView(row.report, pool)
+        else:
+            view.report = row.report
+        self._index()
+
+    def saw(self, identity: str, seen_at: float) -> None:
+        """Take in that a target has reported."""
+        self.registry.saw(identity, seen_at)
+
+    def view(self, identity: str) -> TargetView | None:
+        """Return one target, or None."""
+        return self._views.get(identity)
+
+    def at_address(self, address: str) -> TargetView | None:
+        """Return the newest target known at IP:PORT, or None."""
+        found = [view for view in self._views.values() if view.report.address == address]
+        return max(found, key=lambda view: self._seen_at(view), default=None)
+
+    def pool(self, name: str) -> list[TargetView]:
+        """Return the targets of a pool that have not said that they leave."""
+        return self._pools.get(name, [])
+
+    def usable(self, name: str, now: float, registry_heard_at: float) -> list[TargetView]:
+        """Return the targets of a pool to which work may go now, doubtful ones only if all are."""
+        ready = [view for view in self.pool(name) if not view.is_misplaced]
+        sound = [view for view in ready if now >= view.avoid_until]
+        heard = [view for view in sound if not self._is_silent(view, registry_heard_at)]
+        return heard or sound or ready
+
+    def mean_seconds(self, name: str) -> float:
+        """Return the middle of what the targets of a pool take, 0 if nothing is known."""
+        known = sorted(view.mean_seconds for view in self.pool(name) if view.mean_seconds)
+        return known[len(known) // 2] if known else 0.0
+
+    def close(self) -> None:
+        """Close every connection."""
+        for view in self._views.values():
+            view.connections.close()
+
+    def _seen_at(self, view):
+        row = self.registry.get(view.identity)
+        return row.seen_at if row else float("-inf")
+
+    def _is_silent(self, view, registry_heard_at):
+        """Return whether the registry still answers but has long not heard of the target."""
+        return registry_heard_at - self._seen_at(view) > SILENT_SECONDS
+
+    def _drop(self, identity):
+        view = self._views.pop(identity, None)
+        if view is not None:
+            view.connections.close_idle()
+
+    def _index(self):
+        pools: dict[str, list[TargetView]] = {}
+        for view in self._views.values():
+            if view.report.state is RegisteredState.READY:
+                pools.setdefault(view.report.pool, []).append(view)
+        for views in pools.values():
+            views.sort(key=lambda view: view.identity)
+        self._pools = pools
+        for callback in self.on_change:
+            callback()
+
+
+def rendezvous_order(key: str, names: list[str]) -> list[str]:
+    """Return `names` in the order in which `key` prefers them; the same at every gateway."""
+    return sorted(names, key=lambda name: xxhash.xxh64_intdigest(f"{key}\0{name}"))
--- /dev/null
+++ b/traystall/passthrough/context.py
@@ -0,0 +1,67 @@
+"""What the parts of a pass-through gateway share."""
+
+import random as random_module
+
+from traystall.core import clock
+from traystall.gateway.configuration import ConfigurationFollower
+from traystall.passthrough.board import TargetBoard
+from traystall.passthrough.budget import BudgetRule, RepeatBudget
+from traystall.passthrough.dialect import HeaderNames, StageDialect
+from traystall.registry.follower import RegistryFollower
+from traystall.routes.matching import RouteIndex
+
+_MIN_CONNECTIONS = 4
+
+
+class PassContext:
+    """Hold the state of one gateway."""
+
+    def __init__(
+        self,
+        data_centre: str,
+        identity: str,
+        names: HeaderNames,
+        stage_dialect: StageDialect,
+        budget_rule: BudgetRule,
+    ):
+        self.data_centre = data_centre
+        self.identity = identity
+        self.names = names
+        self.stage_dialect = stage_dialect
+        self.random = random_module.Random()
+        self.board = TargetBoard(self.random, self.max_connections)
+        self.follower: ConfigurationFollower | None = None
+        self.registry: RegistryFollower | None = None
+        self.gatherer = None
+        self._budget_rule = budget_rule
+        self._budgets: dict[str, RepeatBudget] = {}
+
+    @property
+    def index(self) -> RouteIndex:
+        """Return the routes in force."""
+        return self.follower.held.tables.index
+
+    def gateways(self) -> int:
+        """Return how many gateways are known to serve, this one included."""
+        return max(1, len(self.follower.directory))
+
+    def max_connections(self, pool: str) -> int:
+        """Return this gateway's part of the connections that a target of a pool accepts."""
+        found = self.index.pools.get(pool)
+        whole = found.max_connections if found else _MIN_CONNECTIONS
+        return max(_MIN_CONNECTIONS, whole // (self.gateways() + 1))
+
+    def budget(self, pool: str) -> RepeatBudget:
+        """Return the repeat budget of a pool at this gateway."""
+        found = self._budgets.get(pool)
+        if found is None:
+            found = self._budgets[pool] = RepeatBudget(self._budget_rule)
+        return found
+
+    def may_repeat(self, pool: str, count: int = 1) -> bool:
+        """Take repeats from the budget of a pool; return whether it allowed them."""
+        return self.budget(pool).take(clock.monotonic(), self.gateways(), count)
+
+    def usable(self, pool: str):
+        """Return the targets of a pool to which work may go now."""
+        return self.board.usable(pool, clock.monotonic(), self.registry.last_heard())
--- /dev/null
+++ b/traystall/passthrough/daemon.py
@@ -0,0 +1,189 @@
+"""A gateway that passes requests through: callers on one side, targets on the other."""
+
+import asyncio
+import logging
+
+import aiomisc
+from aiohttp import web
+
+from traystall.conf.settings import Settings
+from traystall.core import daemon
+from traystall.core.exceptions import RpcRefused
+from traystall.core.health import add_health_routes
+from traystall.core.ids import new_id
+from traystall.gateway.configuration import ConfigurationFollower
+from traystall.passthrough.budget import BudgetRule
+from traystall.passthrough.context import PassContext
+from traystall.passthrough.dialect import HeaderNames, StageDialect
+from traystall.passthrough.front import PassFront
+from traystall.passthrough.gatherer import Gatherer
+from traystall.registry.follower import RegistryFollower
+from traystall.routes.tables import RoutingTables, Translator
+from traystall.rpc.client import LinkIdentity, LinkPool
+from traystall.rpc.gen.wire import ttypes
+from traystall.rpc.server import RpcServer
+
+ROLE = "gateway"
+_MAX_HEADER_BYTES = 64 * 1024
+# Kept connections of callers are closed only after this long without a request, in seconds.
+_IDLE_SECONDS = 60.0
+_PUMP_SECONDS = 0.25
+
+logger = logging.getLogger(__name__)
+
+
+class PassGateway(aiomisc.Service):
+    """Wire the parts of a pass-through gateway together."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        translate: Translator,
+        names: HeaderNames,
+        stage_dialect: StageDialect,
+    ):
+        super().__init__()
+        self.settings = settings
+        self._translate = translate
+        self._names = names
+        self._stage_dialect = stage_dialect
+        self._identity = f"{settings.instance}/{new_id()}"
+        self._state = "serving"
+        # Whom to ask for the configuration; grows with what the control daemons tell.
+        self.controls: list[str] = list(settings.control)
+        self._configured_controls: list[str] = list(settings.control)
+
+    async def start(self) -> None:
+        """Take the newest configuration within reach and begin to serve."""
+        settings = self.settings
+        self._links = LinkPool(
+            LinkIdentity(settings.cluster, ROLE, self._identity, settings.secret)
+        )
+        rule = BudgetRule(settings.repeat_ratio, settings.repeat_window, settings.repeat_slack)
+        self.gateway_context = PassContext(
+            settings.data_centre, self._identity, self._names, self._stage_dialect, rule
+        )
+        self._follow()
+        self.gateway_context.gatherer = Gatherer(self.gateway_context, self._links)
+        self.gateway_context.board.on_change.append(self.gateway_context.gatherer.pump)
+        self._server = RpcServer(
+            settings.rpc_listen, settings.cluster, settings.secret, self._answer_peer
+        )
+        await self._server.start()
+        await self.gateway_context.follower.take_highest()
+        await self._start_front()
+        self._background = daemon.Background()
+        self._background.start(self.gateway_context.follower.follow_forever())
+        self._background.start(self.gateway_context.registry.follow_forever())
+        self._background.start(self._pump_forever())
+        logger.info("started", extra={"identity": self._identity})
+
+    async def until_stopped(self, stopping: asyncio.Event) -> None:
+        """Wait for a signal, then drain: nothing in flight is cut."""
+        await daemon.first_of(stopping, self._background.failed)
+        logger.info("draining", extra={"in_flight": self._front.in_flight})
+        self._state = "draining"
+        self._front.draining = True
+        await asyncio.sleep(self.settings.drain_notice)
+        await self._site.stop()
+        await self._front.drain(self.settings.drain_limit)
+        logger.info("drained", extra={"in_flight": self._front.in_flight})
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Close every connection."""
+        self._background.stop()
+        self.gateway_context.gatherer.close()
+        await self._runner.cleanup()
+        if self._health is not None:
+            await self._health.cleanup()
+        await self._server.stop()
+        self.gateway_context.board.close()
+        await self._links.close()
+
+    def is_ready(self) -> bool:
+        """Return whether callers should be sent here."""
+        return self._state == "serving" and self.gateway_context.index.number > 0
+
+    def set_controls(self, addresses: list[str]) -> None:
+        """Take new addresses of control daemons from the settings."""
+        self._configured_controls = list(addresses)
+
+    def _follow(self):
+        follower = ConfigurationFollower(self._links, self.controls, [], self._describe)
+        follower.held.tables = RoutingTables(self._translate)
+        registry = RegistryFollower(self._links, self._identity, lambda: self.controls)
+        registry.merge = self.gateway_context.board.merge
+        registry.saw = self.gateway_context.board.saw
+        registry.on_members = self._take_members
+        self.gateway_context.follower = follower
+        self.gateway_context.registry = registry
+
+    def _take_members(self, members):
+        """Ask the members of the group from now on; the settings help when none is known."""
+        addresses = [member.address for member in members if member.address]
+        own = self.settings.data_centre
+        near = [m.address for m in members if m.address and m.data_centre == own]
+        wanted = list(dict.fromkeys([*near, *addresses])) or self._configured_controls
+        heard = set(wanted) | set(self._configured_controls)
+        self.controls[:] = [*wanted, *sorted(heard - set(wanted))]
+
+    def _describe(self):
+        settings = self.settings
+        return ttypes.GatewayRecord(
+            identity=self._identity,
+            instance=settings.instance,
+            data_centre=settings.data_centre,
+            address=settings.listen,
+            rpc_address=settings.rpc_listen,
+            number=self.gateway_context.follower.held.number,
+            state=self._state,
+            age=0.0,
+            leaving=[],
+        )
+
+    async def _answer_peer(self, request):
+        """Answer another gateway."""
+        gatherer = self.gateway_context.gatherer
+        if isinstance(request, ttypes.StageRequest):
+            return await gatherer.run_here(request)
+        if isinstance(request, ttypes.StageCancel):
+            gatherer.cancel(request.call_id)
+            return None
+        if isinstance(request, ttypes.PingRequest):
+            return await gatherer.ping(request)
+        if isinstance(request, ttypes.WatchRequest):
+            return self.gateway_context.follower.answer_watch(request)
+        raise RpcRefused("bad-method", "A gateway does not serve this call.")
+
+    async def _pump_forever(self):
+        while True:
+            await asyncio.sleep(_PUMP_SECONDS)
+            self.gateway_context.gatherer.pump()
+
+    async def _start_front(self):
+        self._front = PassFront(self.gateway_context)
+        server = web.Server(
+            self._front.handle,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=_IDLE_SECONDS,
+            max_line_size=_MAX_HEADER_BYTES,
+            max_field_size=_MAX_HEADER_BYTES,
+        )
+        self._runner = web.ServerRunner(server)
+        await self._runner.setup()
+        self._site = await _listen(self._runner, self.settings.listen)
+        self._health = None
+        if self.settings.health_listen:
+            app = web.Application()
+            add_health_routes(app, self.is_ready)
+            self._health = web.AppRunner(app, access_log=None)
+            await self._health.setup()
+            await _listen(self._health, self.settings.health_listen)
+
+
+async def _listen(runner, address):
+    host, _, port = address.rpartition(":")
+    site = web.TCPSite(runner, host, int(port))
+    await site.start()
+    return site
--- /dev/null
+++ b/traystall/passthrough/exceptions.py
@@ -0,0 +1,45 @@
+"""Errors of one exchange with a target, and of a request that can't be answered."""
+
+from traystall.core.exceptions import GatewayError
+
+
+class ExchangeError(GatewayError):
+    """Be the base of what goes wrong on a connection to a target.
+
+    `sent` says whether a byte of the request may have left this process.
+    """
+
+    def __init__(self, reason: str, sent: bool):
+        self.reason = reason
+        self.sent = sent
+        super().__init__(reason)
+
+
+class ConnectFailed(ExchangeError):
+    """Report that no connection came up: nothing was sent."""
+
+    def __init__(self, reason: str):
+        super().__init__(reason, sent=False)
+
+
+class ConnectionBroken(ExchangeError):
+    """Report that a connection ended before the whole answer was in."""
+
+
+class NoAnswer(ExchangeError):
+    """Report bytes that are no answer, or an answer that belongs to another request."""
+
+
+class Refusal(GatewayError):
+    """End a request with an answer of the gateway's own.
+
+    `status` 503 promises that the request has not run and never will;
+    `retry_after` is in seconds.
+    """
+
+    def __init__(self, status: int, code: str, detail: str = "", retry_after: float | None = None):
+        self.status = status
+        self.code = code
+        self.detail = detail
+        self.retry_after = retry_after
+        super().__init__(f"{status} {code}: {detail}")
--- /dev/null
+++ b/traystall/passthrough/front.py
@@ -0,0 +1,141 @@
+"""The callers' side: find the route, check the key, and give each request its one answer."""
+
+import asyncio
+import logging
+
+from aiohttp import web
+
+from traystall.core import clock, metrics
+from traystall.core.logs import decision
+from traystall.passthrough.context import PassContext
+from traystall.passthrough.exceptions import Refusal
+from traystall.passthrough.messages import CallerRequest
+from traystall.passthrough.request import PassRequest
+from traystall.passthrough.runner import PassRunner
+from traystall.routes.matching import choose_pool
+
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+NOT_READY_RETRY_AFTER = 0.5
+
+logger = logging.getLogger(__name__)
+
+
+class PassFront:
+    """Handle every request that a caller sends."""
+
+    def __init__(self, context: PassContext):
+        self._context = context
+        self._runner = PassRunner(context)
+        self.in_flight = 0
+        self.draining = False
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request; every path ends in one whole answer or a broken connection."""
+        self.in_flight += 1
+        try:
+            response = await self._answer(request)
+        except Refusal as refusal:
+            response = self._refuse(request, refusal)
+        finally:
+            self.in_flight -= 1
+        if self.draining:
+            response.force_close()
+        return response
+
+    async def drain(self, seconds: float) -> None:
+        """Return once nothing is in flight, or after `seconds`."""
+        deadline = clock.monotonic() + seconds
+        while self.in_flight and clock.monotonic() < deadline:
+            await asyncio.sleep(0.02)
+
+    async def _answer(self, request):
+        started = clock.monotonic()
+        index = self._context.index
+        if not index.number:
+            raise Refusal(503, "not-ready", "No configuration yet.", NOT_READY_RETRY_AFTER)
+        path = request.message.path.partition("?")[0]
+        route = index.route(request.headers.get("Host", ""), path)
+        if route is None:
+            raise Refusal(404, "no-route", "No route has this host and path.")
+        customer = self._customer(request, route)
+        caller = await self._read(request)
+        passed = PassRequest(
+            caller,
+            route,
+            choose_pool(route, self._context.random),
+            customer,
+            self._context.names,
+            started,
+        )
+        try:
+            return await self._runner.run(request, passed)
+        finally:
+            self._log(passed)
+
+    def _customer(self, request, route):
+        """Return who sent a request, or None where nobody needs to be known."""
+        index = self._context.index
+        if not index.wants_keys:
+            return None
+        scheme, _, key = request.headers.get("Authorization", "").partition(" ")
+        known = scheme.lower() == self._context.names.key_scheme.lower()
+        customer = index.customer(key.strip()) if known else None
+        if customer is None and not route.public:
+            raise Refusal(401, "unknown-key", "The request shows no key that is known.")
+        return customer
+
+    async def _read(self, request) -> CallerRequest:
+        limit = self._context.index.table.limits.max_body_bytes
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            request.transport.write(_CONTINUE)
+        parts = []
+        size = 0
+        async for part in request.content.iter_any():
+            parts.append(part)
+            size += len(part)
+            if size > limit:
+                raise Refusal(413, "too-large", f"The body is over {limit} bytes.")
+        message = request.message
+        return CallerRequest(
+            method=message.method,
+            target=message.path,
+            headers=message.raw_headers,
+            body=b"".join(parts),
+        )
+
+    def _refuse(self, request, refusal):
+        headers = {}
+        if refusal.retry_after is not None:
+            headers["Retry-After"] = f"{refusal.retry_after:.2f}"
+        request_id = request.headers.get(self._context.names.request_id)
+        if request_id:
+            headers[self._context.names.request_id] = request_id
+        decision(
+            "refuse",
+            request=request_id,
+            status=refusal.status,
+            code=refusal.code,
+            why=refusal.detail,
+            retry_after=refusal.retry_after,
+        )
+        response = web.Response(status=refusal.status, text=f"{refusal.code}\n", headers=headers)
+        if refusal.status in (400, 413):
+            # A body that was not read must not be taken for the next request.
+            response.force_close()
+        return response
+
+    def _log(self, passed):
+        metrics.requests_total.inc({"pipeline": passed.route.name, "outcome": passed.outcome})
+        decision(
+            "passed",
+            request=passed.request_id,
+            route=passed.route.name,
+            outcome=passed.outcome,
+            attempts=passed.attempts,
+            seconds=round(clock.monotonic() - passed.started, 4),
+            stages_seconds=passed.stages_seconds and round(passed.stages_seconds, 4),
+            first_event=passed.first_event and round(passed.first_event, 4),
+            events=passed.events,
+            pause=round(passed.longest_pause, 4),
+            target=passed.target,
+        )
--- /dev/null
+++ b/traystall/passthrough/messages.py
@@ -0,0 +1,93 @@
+"""Turn a caller's request into a target's, and a target's answer into a caller's.
+
+Method, path, query and body stay as they are; headers that concern one
+connection only, and those that only a gateway sets, are left out.
+"""
+
+import msgspec
+from multidict import CIMultiDict
+
+from traystall.passthrough.connection import ResponseHead
+from traystall.passthrough.dialect import HeaderNames
+
+_HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+_BODY_METHODS = ("POST", "PUT", "PATCH")
+
+
+class CallerRequest(msgspec.Struct, frozen=True):
+    """Hold a request as it came: raw target and headers, the whole body."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+    def get(self, name: str) -> str | None:
+        """Return the first header called `name`, in any case, or None."""
+        wanted = name.lower().encode()
+        for key, value in self.headers:
+            if key.lower() == wanted:
+                return value.decode("latin-1")
+        return None
+
+
+class RequestWriter:
+    """Write a caller's request for targets; only the headers set here differ between attempts."""
+
+    def __init__(self, request: CallerRequest, names: HeaderNames):
+        self._request = request
+        own = [names.customer, names.expected_incarnation, names.deadline_ms, names.inputs]
+        dropped = {name.lower().encode() for name in (*own, *names.gateway_only)}
+        self._kept = _end_to_end(request.headers, dropped, names.key_scheme)
+
+    def write(self, extra: dict[str, str]) -> bytes:
+        """Return the bytes of the request with the headers in `extra` besides."""
+        request = self._request
+        replaced = {name.lower().encode() for name in extra}
+        lines = [f"{request.method} {request.target} HTTP/1.1".encode("utf-8", "surrogateescape")]
+        lines += [
+            name + b": " + value for name, value in self._kept if name.lower() not in replaced
+        ]
+        lines += [f"{name}: {value}".encode("latin-1") for name, value in extra.items()]
+        if request.body or request.method in _BODY_METHODS:
+            lines.append(b"Content-Length: %d" % len(request.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+
+def _end_to_end(headers, dropped, key_scheme):
+    named = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            named |= {word.strip().lower() for word in value.split(b",")}
+    scheme = key_scheme.lower().encode() + b" "
+    kept = []
+    for name, value in headers:
+        lowered = name.lower()
+        if lowered in _HOP_BY_HOP or lowered in named or lowered in dropped:
+            continue
+        if lowered == b"authorization" and value.lower().startswith(scheme):
+            continue  # A customer's key is not shown to targets.
+        kept.append((name, value))
+    return kept
+
+
+def answer_headers(head: ResponseHead) -> CIMultiDict[str]:
+    """Return the headers of a target's answer that go on to the caller."""
+    return CIMultiDict(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in _end_to_end(head.headers, frozenset(), "\0")
+    )
--- /dev/null
+++ b/traystall/passthrough/pool.py
@@ -0,0 +1,81 @@
+"""Kept connections to one target, within this gateway's part of what the target accepts."""
+
+from collections.abc import Callable
+
+from traystall.core import clock
+from traystall.passthrough.connection import ResponseHead, TargetConnection, connect
+from traystall.passthrough.exceptions import ConnectFailed
+
+# A kept connection is left this long, in seconds, before the target would close it.
+_MARGIN_SECONDS = 0.6
+_DEFAULT_IDLE_SECONDS = 4.0
+CONNECT_TIMEOUT = 0.5
+
+
+class ConnectionPool:
+    """Lend connections to one target and take them back.
+
+    `limit` returns how many may be open at once.
+    """
+
+    def __init__(self, address: str, limit: Callable[[], int]):
+        self._address = address
+        self._limit = limit
+        self._idle: list[TargetConnection] = []
+        self._open = 0
+
+    def has_room(self) -> bool:
+        """Return whether a connection can be had now."""
+        return bool(self._idle) or self._open < self._limit()
+
+    async def acquire(self, fresh_within: float = float("inf")) -> TargetConnection:
+        """Return a kept connection that rested less than `fresh_within` seconds, or a new one."""
+        now = clock.monotonic()
+        kept = self._take_idle(now, fresh_within)
+        if kept is not None:
+            return kept
+        if self._open >= self._limit():
+            raise ConnectFailed(f"All connections to {self._address} are in use.")
+        self._open += 1
+        try:
+            return await connect(self._address, CONNECT_TIMEOUT)
+        except BaseException:
+            self._open -= 1
+            raise
+
+    def release(self, connection: TargetConnection, head: ResponseHead | None) -> None:
+        """Keep a connection whose answer with `head` was read whole, or close it."""
+        if head is None or not connection.is_reusable(head):
+            self.discard(connection)
+            return
+        now = clock.monotonic()
+        seconds = head.idle_seconds()
+        kept_for = _DEFAULT_IDLE_SECONDS if seconds is None else seconds - _MARGIN_SECONDS
+        connection.is_idle = True
+        connection.idle_since = now
+        connection.idle_until = now + kept_for
+        self._idle.append(connection)
+
+    def discard(self, connection: TargetConnection) -> None:
+        """Close a connection that can't be used again."""
+        self._open -= 1
+        connection.close()
+
+    def close_idle(self) -> None:
+        """Close the kept connections; those in use go on."""
+        while self._idle:
+            self.discard(self._idle.pop())
+
+    def close(self) -> None:
+        """Close what is kept."""
+        self.close_idle()
+
+    def _take_idle(self, now, fresh_within):
+        while self._idle:
+            connection = self._idle.pop()
+            expired = now >= connection.idle_until or now - connection.idle_since > fresh_within
+            if connection.is_closed or expired:
+                self.discard(connection)
+                continue
+            return connection
+        return None
--- /dev/null
+++ b/traystall/passthrough/request.py
@@ -0,0 +1,104 @@
+"""One request on its way through a gateway: what it asks, its deadline, what became of it."""
+
+from traystall.core import clock
+from traystall.passthrough.choice import Prompt, parse_prompt
+from traystall.passthrough.dialect import HeaderNames
+from traystall.passthrough.exceptions import Refusal
+from traystall.passthrough.messages import CallerRequest, RequestWriter
+from traystall.routes.models import KeyedCustomer, Route
+
+# A final answer is given this long before the deadline, in seconds, so that it arrives in time.
+ANSWER_MARGIN = 0.03
+
+
+class PassRequest:
+    """Hold one request; times are monotonic seconds."""
+
+    def __init__(
+        self,
+        caller: CallerRequest,
+        route: Route,
+        pool: str,
+        customer: KeyedCustomer | None,
+        names: HeaderNames,
+        started: float,
+    ):
+        self.caller = caller
+        self.route = route
+        self.pool = pool
+        self.customer = customer
+        self.names = names
+        self.started = started
+        self.request_id = caller.get(names.request_id) or ""
+        self.writer = RequestWriter(caller, names)
+        self.deadline = started + self._seconds()
+        self.prompt: Prompt = parse_prompt(
+            caller.get(names.prompt_parts), caller.get(names.token_counts)
+        )
+        self.piece_key = caller.get(names.piece_key) or ""
+        self.piece_counts = _parse_counts(caller.get(names.pieces), len(route.stages))
+        self.inputs: tuple[str, ...] = ()
+        # What became of it.
+        self.attempts = 0
+        self.tried: set[str] = set()
+        self.may_have_run = False
+        self.outcome = "broken"
+        self.target = ""
+        self.stages_seconds: float | None = None
+        self.first_event: float | None = None
+        self.last_event_at: float | None = None
+        self.longest_pause = 0.0
+        self.events = 0
+
+    @property
+    def priority(self) -> int:
+        """Return the rank of the request, 0 first: the customer's goes before the route's."""
+        if self.customer is not None and self.customer.priority is not None:
+            return self.customer.priority
+        return self.route.priority
+
+    def remaining(self) -> float:
+        """Return the seconds left until the final answer must be on its way."""
+        return self.deadline - ANSWER_MARGIN - clock.monotonic()
+
+    def wire(self, view, last_event_id: str | None) -> bytes:
+        """Return the bytes to send to one target now."""
+        names = self.names
+        left = max(1, int((self.deadline - clock.monotonic()) * 1000))
+        extra = {names.deadline_ms: str(left), names.expected_incarnation: view.identity}
+        if self.customer is not None:
+            extra[names.customer] = self.customer.name
+        if self.inputs:
+            extra[names.inputs] = ",".join(self.inputs)
+        if last_event_id is not None:
+            extra["Last-Event-Id"] = last_event_id
+        return self.writer.write(extra)
+
+    def note_event(self, now: float) -> None:
+        """Record that an event was passed on."""
+        self.events += 1
+        if self.last_event_at is None:
+            self.first_event = now - self.started
+        else:
+            self.longest_pause = max(self.longest_pause, now - self.last_event_at)
+        self.last_event_at = now
+
+    def _seconds(self):
+        text = self.caller.get(self.names.deadline_ms)
+        if text is None:
+            return self.route.timeout
+        try:
+            return min(self.route.timeout, max(0.0, float(text) / 1000))
+        except ValueError:
+            raise Refusal(
+                400, "bad-deadline", f"{self.names.deadline_ms} is not a number of milliseconds."
+            ) from None
+
+
+def _parse_counts(text, stages):
+    """Return how many pieces each stage has; a stage that is not named has none."""
+    words = [word.strip() for word in (text or "").split(",")] if text else []
+    if any(not word.isdigit() for word in words):
+        raise Refusal(400, "bad-pieces", "The numbers of pieces can't be read.")
+    counts = [int(word) for word in words[:stages]]
+    return counts + [0] * (stages - len(counts))
--- /dev/null
+++ b/traystall/passthrough/runner.py
@@ -0,0 +1,281 @@
+"""Run one request: its stages, then attempts at targets until there is a final answer.
+
+What decides whether it may be sent again stands in `may_try_again`: only work
+that is known not to have run, or that may run again, and only within the
+route's attempts and the budget.
+"""
+
+import asyncio
+from enum import StrEnum
+
+import msgspec
+from aiohttp import web
+
+from traystall.core import clock
+from traystall.core.logs import decision
+from traystall.passthrough import choice
+from traystall.passthrough.attempt import PROMISES, Answer, Attempt
+from traystall.passthrough.board import TargetView
+from traystall.passthrough.context import PassContext
+from traystall.passthrough.exceptions import (
+    ConnectFailed,
+    ExchangeError,
+    NoAnswer,
+    Refusal,
+)
+from traystall.passthrough.messages import answer_headers
+from traystall.passthrough.request import PassRequest
+from traystall.passthrough.sink import StreamSink
+from traystall.passthrough.stages import StageChain, StageFailed
+
+# A request that must not run twice goes only on connections that rested less than this, in
+# seconds: one that the target closes meanwhile would leave a doubt.
+_FRESH_SECONDS = 1.0
+# Connections that did not come up are tried elsewhere this often; nothing was sent on them.
+_MAX_UNREACHABLE = 4
+_MIN_SECONDS = 0.02
+_RETRY_AFTER = (0.2, 0.6)
+
+
+class FailureKind(StrEnum):
+    """Say what a failed attempt proves."""
+
+    UNREACHABLE = "unreachable"
+    NOT_RUN = "not-run"
+    DOUBT = "doubt"
+    FAILED = "failed"
+
+
+class Failure(msgspec.Struct, frozen=True):
+    """Hold how an attempt failed; `answer` is the target's own, where it gave one."""
+
+    kind: FailureKind
+    reason: str
+    answer: Answer | None = None
+
+
+def may_try_again(passed: PassRequest, failure: Failure, unreachable: int) -> bool:
+    """Return whether another target may get the request, leaving the budget aside."""
+    if passed.remaining() < _MIN_SECONDS:
+        return False
+    if failure.kind is FailureKind.UNREACHABLE:
+        return unreachable < _MAX_UNREACHABLE
+    if passed.attempts >= passed.route.max_attempts:
+        return False
+    return failure.kind is FailureKind.NOT_RUN or passed.route.may_run_again
+
+
+class PassRunner:
+    """Run requests at one gateway."""
+
+    def __init__(self, context: PassContext):
+        self._context = context
+
+    async def run(self, request: web.BaseRequest, passed: PassRequest) -> web.StreamResponse:
+        """Return the final answer, or raise Refusal."""
+        sink = StreamSink(request, passed)
+        chain = StageChain(self._context, passed)
+        self._context.budget(passed.pool).on_request(clock.monotonic())
+        try:
+            async with asyncio.timeout(max(0.0, passed.remaining())):
+                await self._run_stages(chain, passed)
+                return await self._run_attempts(passed, sink, chain)
+        except TimeoutError:
+            if sink.is_open:
+                return self._cut(passed, sink, "timeout")
+            raise self._refusal(passed, "too-late", "The deadline passed.") from None
+        except asyncio.CancelledError:
+            passed.outcome = "caller-left"
+            raise
+        finally:
+            chain.free()
+
+    async def _run_stages(self, chain, passed):
+        if not any(passed.piece_counts):
+            return
+        began = clock.monotonic()
+        try:
+            passed.inputs = await chain.run()
+        except StageFailed as error:
+            raise self._refusal(passed, "stage-failed", str(error)) from error
+        finally:
+            passed.stages_seconds = clock.monotonic() - began
+
+    async def _run_attempts(self, passed, sink, chain):
+        unreachable = 0
+        failure: Failure | None = None
+        while True:
+            view = self._choose(passed)
+            if view is None:
+                return self._finish_failed(passed, sink, failure)
+            outcome = await self._attempt(passed, view, sink, chain)
+            if not isinstance(outcome, Failure):
+                return outcome
+            failure = outcome
+            decision(
+                "attempt-failed",
+                request=passed.request_id,
+                target=view.identity,
+                kind=failure.kind.value,
+                why=failure.reason,
+                attempt=passed.attempts,
+            )
+            unreachable += failure.kind is FailureKind.UNREACHABLE
+            if not may_try_again(passed, failure, unreachable):
+                return self._finish_failed(passed, sink, failure)
+            counted = failure.kind is not FailureKind.UNREACHABLE
+            if counted and not self._context.may_repeat(passed.pool):
+                return self._finish_failed(passed, sink, failure)
+
+    def _choose(self, passed) -> TargetView | None:
+        context = self._context
+        pool = context.index.pools.get(passed.pool)
+        found = context.usable(passed.pool)
+        if pool is not None and pool.engine is not None:
+            return choice.choose_engine(found, passed.tried, passed.prompt, context.random)
+        mean = context.board.mean_seconds(passed.pool)
+        return choice.choose_target(found, passed.tried, context.data_centre, mean, context.random)
+
+    async def _attempt(self, passed, view, sink, chain) -> web.StreamResponse | Failure:
+        passed.tried.add(view.identity)
+        passed.target = view.identity
+        view.running += 1
+        began = clock.monotonic()
+        load = _PromptLoad(view, passed)
+        try:
+            async with Attempt(view, self._context.names, passed.request_id) as attempt:
+                return await self._exchange(passed, view, attempt, sink, chain, load)
+        except ConnectFailed as error:
+            view.on_unreachable(clock.monotonic(), self._context.random)
+            return Failure(FailureKind.UNREACHABLE, error.reason)
+        except ExchangeError as error:
+            view.on_failure(clock.monotonic(), self._context.random)
+            if not error.sent:
+                return Failure(FailureKind.UNREACHABLE, error.reason)
+            passed.may_have_run = True
+            return Failure(FailureKind.DOUBT, error.reason)
+        except (TimeoutError, asyncio.CancelledError):
+            passed.may_have_run = passed.may_have_run or attempt.was_sent
+            raise
+        finally:
+            load.end()
+            view.running -= 1
+            decision(
+                "attempt",
+                request=passed.request_id,
+                target=view.identity,
+                target_data_centre=view.report.data_centre,
+                seconds=round(clock.monotonic() - began, 4),
+            )
+
+    async def _exchange(self, passed, view, attempt, sink, chain, load):
+        fresh = float("inf") if passed.route.may_run_again else _FRESH_SECONDS
+        await attempt.open(fresh)
+        passed.attempts += 1
+        began = clock.monotonic()
+        attempt.send(passed.wire(view, sink.last_id))
+        head = await attempt.read_head()
+        if passed.route.streamed and _is_success(head, self._context.names):
+            return await self._pass_events(passed, attempt, sink, chain, load, view)
+        answer = await attempt.read_whole_after(head)
+        failure = self._judge(view, attempt, answer)
+        if failure is not None:
+            passed.may_have_run |= failure.kind is not FailureKind.NOT_RUN
+            return failure
+        view.on_success(clock.monotonic() - began)
+        passed.outcome = "complete"
+        return _whole_response(answer)
+
+    def _judge(self, view, attempt, answer) -> Failure | None:
+        """Return how an answer fails, or None if it is good."""
+        now = clock.monotonic()
+        head = answer.head
+        if attempt.has_not_run():
+            if head.status == 421:
+                view.is_misplaced = True
+            elif head.status not in (400, 409):
+                view.avoid_until = max(view.avoid_until, now + _not_run_pause(head))
+            return Failure(FailureKind.NOT_RUN, f"The target answered {head.status}.", answer)
+        if _is_success(head, self._context.names):
+            return None
+        if 200 <= head.status < 300:
+            view.on_failure(now, self._context.random)
+            return Failure(FailureKind.DOUBT, "The answer is not the target's own.")
+        if head.status >= 500:
+            view.on_failure(now, self._context.random)
+        return Failure(FailureKind.FAILED, f"The target answered {head.status}.", answer)
+
+    async def _pass_events(self, passed, attempt, sink, chain, load, view):
+        sink.begin_part(attempt.head)
+        async for chunk in attempt.chunks():
+            for event in sink.split(chunk):
+                if not sink.is_open:
+                    load.end()
+                    chain.free()
+                    view.on_success(clock.monotonic() - passed.started)
+                await sink.write(event)
+        if attempt.head.until_close and sink.partial:
+            raise NoAnswer("The stream ended inside an event.", sent=True)
+        passed.outcome = "complete"
+        return await sink.finish()
+
+    def _finish_failed(self, passed, sink, failure) -> web.StreamResponse:
+        if sink.is_open:
+            return self._cut(passed, sink, failure.reason if failure else "no target")
+        answer = failure.answer if failure else None
+        own = answer is not None and answer.head.get(self._context.names.signature) is not None
+        if own and answer.head.status not in PROMISES and answer.head.status >= 300:
+            passed.outcome = f"target-{answer.head.status}"
+            return _whole_response(answer)
+        reason = failure.reason if failure else "No target can take it."
+        raise self._refusal(passed, "not-served", reason)
+
+    def _refusal(self, passed, code, detail) -> Refusal:
+        """Return what may truthfully be said: 503 only for what has not run and never will."""
+        if passed.may_have_run:
+            status = 504 if code == "too-late" else 502
+            passed.outcome = f"failed-{code}"
+            return Refusal(status, code, detail)
+        passed.outcome = f"refused-{code}"
+        return Refusal(503, code, detail, self._context.random.uniform(*_RETRY_AFTER))
+
+    def _cut(self, passed, sink, why):
+        """End a stream so that it can't be taken for whole."""
+        passed.outcome = "cut"
+        decision("cut", request=passed.request_id, why=why, events=passed.events)
+        sink.abort()
+        return sink.response
+
+
+class _PromptLoad:
+    """Count a prompt as being read at an engine until its first event, once."""
+
+    def __init__(self, view: TargetView, passed: PassRequest):
+        self._view = view
+        self._tokens = passed.prompt.tokens
+        view.running_tokens += self._tokens
+
+    def end(self):
+        """Count the prompt as read."""
+        self._view.running_tokens -= self._tokens
+        self._tokens = 0
+
+
+def _is_success(head, names) -> bool:
+    """Return whether a head is a target's own success: signed, and not encoded on the way."""
+    if not 200 <= head.status < 300:
+        return False
+    return head.get(names.signature) is not None and head.get("Content-Encoding") is None
+
+
+def _not_run_pause(head) -> float:
+    try:
+        return min(2.0, float(head.get("Retry-After") or 0.05))
+    except ValueError:
+        return 0.05
+
+
+def _whole_response(answer: Answer) -> web.Response:
+    return web.Response(
+        status=answer.head.status, headers=answer_headers(answer.head), body=answer.body
+    )
--- /dev/null
+++ b/traystall/passthrough/stages.py
@@ -0,0 +1,108 @@
+"""The stages of one request: each begins when those that it reads are done."""
+
+import asyncio
+
+from traystall.core import clock
+from traystall.core.exceptions import GatewayError
+from traystall.core.ids import new_id
+from traystall.rpc.gen.wire.ttypes import StageRequest
+
+
+class StageFailed(GatewayError):
+    """Report a stage whose pieces can't all be made in time; the request itself has not run."""
+
+
+class StageChain:
+    """Run the stages of one request and give their results up when they are of no more use."""
+
+    def __init__(self, context, passed):
+        self._context = context
+        self._passed = passed
+        self._handles: dict[int, list[str]] = {}
+        self._freed: set[str] = set()
+
+    async def run(self) -> tuple[str, ...]:
+        """Return the handles that the request itself reads; raise StageFailed."""
+        counts = self._passed.piece_counts
+        wanted = [index for index, count in enumerate(counts) if count]
+        tasks: dict[int, asyncio.Task] = {}
+        for index in wanted:
+            earlier = [tasks[i] for i in self._passed.route.stages[index].after if i in tasks]
+            tasks[index] = asyncio.create_task(self._run_stage(index, counts[index], earlier))
+        try:
+            await asyncio.gather(*tasks.values())
+        except BaseException:
+            for task in tasks.values():
+                task.cancel()
+            await asyncio.gather(*tasks.values(), return_exceptions=True)
+            raise
+        return tuple(
+            handle
+            for index in self._passed.route.final_stages()
+            for handle in self._handles.get(index, ())
+        )
+
+    def free(self) -> None:
+        """Give up every result that is still held."""
+        self._free([handle for handles in self._handles.values() for handle in handles])
+
+    async def _run_stage(self, index, count, earlier):
+        if earlier:
+            await asyncio.gather(*earlier)
+        passed = self._passed
+        plan = passed.route.stages[index]
+        inputs = [handle for i in plan.after for handle in self._handles.get(i, ())]
+        if plan.after and not inputs:
+            raise StageFailed(f"Stage {index} has nothing to read.")
+        request = StageRequest(
+            pool=plan.pool,
+            request_id=passed.request_id,
+            stage=index,
+            pieces=list(range(count)),
+            key="" if plan.after else passed.piece_key,
+            inputs=inputs,
+            seconds_left=passed.remaining(),
+            seconds_to_start=self._seconds_to_start(index),
+            priority=passed.priority,
+            result_bytes=plan.result_bytes,
+            call_id=new_id(),
+        )
+        reply = await self._context.gatherer.run(request)
+        self._handles[index] = [handle for handle in reply.handles if handle]
+        if len(self._handles[index]) < count:
+            reasons = sorted({reason for reason in reply.reasons if reason})
+            raise StageFailed(f"Stage {index} was not made: {', '.join(reasons)}.")
+        self._free_read(index)
+
+    def _seconds_to_start(self, index) -> float:
+        """Return when this stage should begin so that the request can still be in time."""
+        passed = self._passed
+        left = passed.started + passed.route.aim - clock.monotonic()
+        return left - self._seconds_from(index)
+
+    def _seconds_from(self, index) -> float:
+        """Return about how long this stage and the longest chain after it take."""
+        route = self._passed.route
+        count = self._passed.piece_counts[index]
+        pool = self._context.index.pools.get(route.stages[index].pool)
+        own = pool.batches.seconds(count) if pool and pool.batches and count else 0.0
+        later = [i for i, stage in enumerate(route.stages) if index in stage.after]
+        return own + max((self._seconds_from(i) for i in later), default=0.0)
+
+    def _free_read(self, index):
+        """Give up the results that only finished stages read."""
+        stages = self._passed.route.stages
+        for earlier in stages[index].after:
+            readers = [
+                i
+                for i, stage in enumerate(stages)
+                if earlier in stage.after and self._passed.piece_counts[i]
+            ]
+            if all(reader in self._handles for reader in readers):
+                self._free(self._handles.get(earlier, ()))
+
+    def _free(self, handles):
+        news = [handle for handle in handles if handle not in self._freed]
+        self._freed.update(news)
+        if news:
+            self._context.gatherer.free(news)
--- /dev/null
+++ b/traystall/registry/__init__.py
@@ -0,0 +1,1 @@
+"""Targets that register themselves: reports merged into one table, watched by gateways."""
--- /dev/null
+++ b/traystall/registry/follower.py
@@ -0,0 +1,85 @@
+"""Watch the registries of all control daemons and merge what they tell.
+
+A target reports to any control daemon it reaches. Watching every one of them
+means that what one of them acknowledges is known here one link later, without
+waiting for the daemons to agree; a daemon that is lost or cut off takes nothing
+away, because the merge never steps back.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from traystall.core import clock
+from traystall.core.exceptions import RpcError
+from traystall.registry.records import to_report
+from traystall.rpc.client import LinkPool
+from traystall.rpc.gen.wire.ttypes import RegistryReply, RegistryRequest
+
+_WATCH_TIMEOUT = 2.0
+_RETRY_SECONDS = 0.25
+_REVIEW_SECONDS = 0.5
+
+logger = logging.getLogger(__name__)
+
+
+class RegistryFollower:
+    """Keep one watch open to each known control daemon.
+
+    `addresses` returns whom to watch now; `merge(report, seen_at)` and
+    `saw(identity, seen_at)` take in what is told; `on_members(members)` gets the
+    control daemons that a registry knows of.
+    """
+
+    def __init__(self, links: LinkPool, sender: str, addresses: Callable[[], list[str]]):
+        self.merge: Callable = lambda report, seen_at: None
+        self.saw: Callable = lambda identity, seen_at: None
+        self.on_members: Callable = lambda members: None
+        self.heard_at: dict[str, float] = {}
+        self._links = links
+        self._sender = sender
+        self._addresses = addresses
+        self._watches: dict[str, asyncio.Task] = {}
+
+    async def follow_forever(self) -> None:
+        """Open a watch to each control daemon that becomes known, end those no longer named."""
+        try:
+            while True:
+                self._review()
+                await asyncio.sleep(_REVIEW_SECONDS)
+        finally:
+            for task in self._watches.values():
+                task.cancel()
+
+    def last_heard(self) -> float:
+        """Return when any registry last answered, in monotonic seconds."""
+        return max(self.heard_at.values(), default=float("-inf"))
+
+    def _review(self):
+        wanted = set(self._addresses())
+        for address in wanted - self._watches.keys():
+            self._watches[address] = asyncio.create_task(self._watch_forever(address))
+        for address in self._watches.keys() - wanted:
+            self._watches.pop(address).cancel()
+
+    async def _watch_forever(self, address):
+        request = RegistryRequest(sender=self._sender, epoch="", version=0)
+        while True:
+            try:
+                reply = await self._links.link(address).call(request, _WATCH_TIMEOUT)
+            except RpcError as error:
+                logger.debug("registry not heard", extra={"peer": address, "why": str(error)})
+                await asyncio.sleep(_RETRY_SECONDS)
+                continue
+            self.heard_at[address] = clock.monotonic()
+            self._take(reply)
+            request.epoch = reply.epoch
+            request.version = reply.version
+
+    def _take(self, reply: RegistryReply):
+        now = clock.monotonic()
+        for record in reply.targets or ():
+            self.merge(to_report(record), now - (record.age or 0.0))
+        for identity, age in (reply.ages or {}).items():
+            self.saw(identity, now - age)
+        self.on_members(reply.members or [])
--- /dev/null
+++ b/traystall/registry/records.py
@@ -0,0 +1,36 @@
+"""Turn rows of the registry into wire records and back."""
+
+from traystall.registry.models import RegisteredState, RegisteredTarget, TargetReport
+from traystall.rpc.gen.wire.ttypes import TargetRecord
+
+
+def to_record(row: RegisteredTarget, now: float) -> TargetRecord:
+    """Return a row as a record that carries the age of the target's last report."""
+    report = row.report
+    return TargetRecord(
+        identity=report.identity,
+        pool=report.pool,
+        address=report.address,
+        data_centre=report.data_centre,
+        version=report.version,
+        slots=report.slots,
+        state=report.state.value,
+        sequence=report.sequence,
+        warming=report.warming,
+        age=max(0.0, now - row.seen_at),
+    )
+
+
+def to_report(record: TargetRecord) -> TargetReport:
+    """Return a record as a report."""
+    return TargetReport(
+        identity=record.identity,
+        pool=record.pool or "",
+        address=record.address or "",
+        data_centre=record.data_centre or "",
+        version=record.version or "",
+        slots=record.slots or 1,
+        state=RegisteredState(record.state),
+        sequence=record.sequence or 0,
+        warming=record.warming or 0.0,
+    )
--- /dev/null
+++ b/traystall/registry/service.py
@@ -0,0 +1,77 @@
+"""Serve a registry to whoever watches it: gateways and the other control daemons."""
+
+import asyncio
+import contextlib
+
+from traystall.core import clock
+from traystall.core.ids import new_id
+from traystall.registry.models import TargetReport
+from traystall.registry.records import to_record
+from traystall.registry.table import Registry
+from traystall.rpc.gen.wire.ttypes import Member, RegistryReply, RegistryRequest
+
+# How long a watch is held open when nothing is new, in seconds.
+WATCH_HOLD = 1.0
+_FORGET_EVERY = 30.0
+
+
+class RegistryService:
+    """Take reports of targets and answer watches of them.
+
+    `members` returns the control daemons as wire records, so that a watcher
+    learns whom it can ask besides.
+    """
+
+    def __init__(self, members):
+        self.registry = Registry()
+        self.epoch = new_id()
+        self._members = members
+        self._changed = asyncio.Event()
+        self._forget_due = clock.monotonic() + _FORGET_EVERY
+
+    def report(self, report: TargetReport, age: float = 0.0) -> None:
+        """Take in one report and wake the watchers if it is news."""
+        if self.registry.merge(report, clock.monotonic() - age):
+            self.wake()
+
+    def leave(self, identity: str) -> None:
+        """Take in that a target is gone."""
+        if self.registry.leave(identity, clock.monotonic()):
+            self.wake()
+
+    async def watch(self, request: RegistryRequest) -> RegistryReply:
+        """Return what is new since the watcher's version, waiting a while if nothing is."""
+        known = request.version if request.epoch == self.epoch else 0
+        deadline = clock.monotonic() + WATCH_HOLD
+        while known >= self.registry.version:
+            left = deadline - clock.monotonic()
+            if left <= 0:
+                break
+            await self._wait(left)
+        return self._reply(known)
+
+    def wake(self) -> None:
+        """Wake every watch that waits; later ones wait on a new event."""
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def _reply(self, known):
+        now = clock.monotonic()
+        if now >= self._forget_due:
+            self._forget_due = now + _FORGET_EVERY
+            self.registry.forget_old(now)
+        ages = {row.identity: now - row.seen_at for row in self.registry.rows() if row.is_ready}
+        members: list[Member] = self._members()
+        return RegistryReply(
+            epoch=self.epoch,
+            version=self.registry.version,
+            targets=[to_record(row, now) for row in self.registry.since(known)],
+            ages=ages,
+            members=members,
+        )
+
+    async def _wait(self, seconds):
+        changed = self._changed
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await changed.wait()
--- a/traystall/rpc/gen/wire/ttypes.py
+++ b/traystall/rpc/gen/wire/ttypes.py
@@ -38,6 +38,12 @@
     FETCH_RESULT = 20
     HANDOVER = 21
     BORROW = 22
+    REGISTRY = 23
+    STAGE = 24
+    STAGE_CANCEL = 25
+    PING = 26
+    JOIN = 27
+    READ = 28
 
     _VALUES_TO_NAMES = {
         1: "HELLO",
@@ -61,6 +67,12 @@
         20: "FETCH_RESULT",
         21: "HANDOVER",
         22: "BORROW",
+        23: "REGISTRY",
+        24: "STAGE",
+        25: "STAGE_CANCEL",
+        26: "PING",
+        27: "JOIN",
+        28: "READ",
     }
 
     _NAMES_TO_VALUES = {
@@ -85,6 +97,12 @@
         "FETCH_RESULT": 20,
         "HANDOVER": 21,
         "BORROW": 22,
+        "REGISTRY": 23,
+        "STAGE": 24,
+        "STAGE_CANCEL": 25,
+        "PING": 26,
+        "JOIN": 27,
+        "READ": 28,
     }
 
 
@@ -4610,6 +4628,1250 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class TargetRecord(object):
+    """
+    Attributes:
+     - identity
+     - pool
+     - address
+     - data_centre
+     - version
+     - slots
+     - state
+     - sequence
+     - warming
+     - age
+
+    """
+
+    __slots__ = (
+        'identity',
+        'pool',
+        'address',
+        'data_centre',
+        'version',
+        'slots',
+        'state',
+        'sequence',
+        'warming',
+        'age',
+    )
+
+
+    def __init__(self, identity=None, pool=None, address=None, data_centre=None, version=None, slots=None, state=None, sequence=None, warming=None, age=None,):
+        self.identity = identity
+        self.pool = pool
+        self.address = address
+        self.data_centre = data_centre
+        self.version = version
+        self.slots = slots
+        self.state = state
+        self.sequence = sequence
+        self.warming = warming
+        self.age = age
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.DOUBLE:
+                    self.warming = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetRecord')
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 1)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 2)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 4)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 5)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 6)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRING, 7)
+            oprot.writeString(self.state.encode('utf-8') if sys.version_info[0] == 2 else self.state)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 8)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.warming is not None:
+            oprot.writeFieldBegin('warming', TType.DOUBLE, 9)
+            oprot.writeDouble(self.warming)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 10)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RegistryRequest(object):
+    """
+    Attributes:
+     - sender
+     - epoch
+     - version
+
+    """
+
+    __slots__ = (
+        'sender',
+        'epoch',
+        'version',
+    )
+
+
+    def __init__(self, sender=None, epoch=None, version=None,):
+        self.sender = sender
+        self.epoch = epoch
+        self.version = version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.epoch = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RegistryRequest')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRING, 1)
+            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.STRING, 2)
+            oprot.writeString(self.epoch.encode('utf-8') if sys.version_info[0] == 2 else self.epoch)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 3)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RegistryReply(object):
+    """
+    Attributes:
+     - epoch
+     - version
+     - targets
+     - ages
+     - members
+
+    """
+
+    __slots__ = (
+        'epoch',
+        'version',
+        'targets',
+        'ages',
+        'members',
+    )
+
+
+    def __init__(self, epoch=None, version=None, targets=None, ages=None, members=None,):
+        self.epoch = epoch
+        self.version = version
+        self.targets = targets
+        self.ages = ages
+        self.members = members
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.epoch = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.targets = []
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = TargetRecord()
+                        _elem123.read(iprot)
+                        self.targets.append(_elem123)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.MAP:
+                    self.ages = {}
+                    (_ktype125, _vtype126, _size124) = iprot.readMapBegin()
+                    for _i128 in range(_size124):
+                        _key129 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val130 = iprot.readDouble()
+                        self.ages[_key129] = _val130
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype134, _size131) = iprot.readListBegin()
+                    for _i135 in range(_size131):
+                        _elem136 = Member()
+                        _elem136.read(iprot)
+                        self.members.append(_elem136)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RegistryReply')
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.STRING, 1)
+            oprot.writeString(self.epoch.encode('utf-8') if sys.version_info[0] == 2 else self.epoch)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.targets is not None:
+            oprot.writeFieldBegin('targets', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.targets))
+            for iter137 in self.targets:
+                iter137.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ages is not None:
+            oprot.writeFieldBegin('ages', TType.MAP, 4)
+            oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.ages))
+            for kiter138, viter139 in self.ages.items():
+                oprot.writeString(kiter138.encode('utf-8') if sys.version_info[0] == 2 else kiter138)
+                oprot.writeDouble(viter139)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter140 in self.members:
+                iter140.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StageRequest(object):
+    """
+    Attributes:
+     - pool
+     - request_id
+     - stage
+     - pieces
+     - key
+     - inputs
+     - seconds_left
+     - priority
+     - result_bytes
+     - call_id
+     - seconds_to_start
+
+    """
+
+    __slots__ = (
+        'pool',
+        'request_id',
+        'stage',
+        'pieces',
+        'key',
+        'inputs',
+        'seconds_left',
+        'priority',
+        'result_bytes',
+        'call_id',
+        'seconds_to_start',
+    )
+
+
+    def __init__(self, pool=None, request_id=None, stage=None, pieces=None, key=None, inputs=None, seconds_left=None, priority=None, result_bytes=None, call_id=None, seconds_to_start=None,):
+        self.pool = pool
+        self.request_id = request_id
+        self.stage = stage
+        self.pieces = pieces
+        self.key = key
+        self.inputs = inputs
+        self.seconds_left = seconds_left
+        self.priority = priority
+        self.result_bytes = result_bytes
+        self.call_id = call_id
+        self.seconds_to_start = seconds_to_start
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.stage = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.pieces = []
+                    (_etype144, _size141) = iprot.readListBegin()
+                    for _i145 in range(_size141):
+                        _elem146 = iprot.readI32()
+                        self.pieces.append(_elem146)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.inputs = []
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.inputs.append(_elem152)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.seconds_left = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.result_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.call_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.DOUBLE:
+                    self.seconds_to_start = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StageRequest')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 2)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.stage is not None:
+            oprot.writeFieldBegin('stage', TType.I32, 3)
+            oprot.writeI32(self.stage)
+            oprot.writeFieldEnd()
+        if self.pieces is not None:
+            oprot.writeFieldBegin('pieces', TType.LIST, 4)
+            oprot.writeListBegin(TType.I32, len(self.pieces))
+            for iter153 in self.pieces:
+                oprot.writeI32(iter153)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 5)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.inputs is not None:
+            oprot.writeFieldBegin('inputs', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRING, len(self.inputs))
+            for iter154 in self.inputs:
+                oprot.writeString(iter154.encode('utf-8') if sys.version_info[0] == 2 else iter154)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.seconds_left is not None:
+            oprot.writeFieldBegin('seconds_left', TType.DOUBLE, 7)
+            oprot.writeDouble(self.seconds_left)
+            oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 8)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.result_bytes is not None:
+            oprot.writeFieldBegin('result_bytes', TType.I64, 9)
+            oprot.writeI64(self.result_bytes)
+            oprot.writeFieldEnd()
+        if self.call_id is not None:
+            oprot.writeFieldBegin('call_id', TType.STRING, 10)
+            oprot.writeString(self.call_id.encode('utf-8') if sys.version_info[0] == 2 else self.call_id)
+            oprot.writeFieldEnd()
+        if self.seconds_to_start is not None:
+            oprot.writeFieldBegin('seconds_to_start', TType.DOUBLE, 11)
+            oprot.writeDouble(self.seconds_to_start)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StageReply(object):
+    """
+    Attributes:
+     - handles
+     - reasons
+
+    """
+
+    __slots__ = (
+        'handles',
+        'reasons',
+    )
+
+
+    def __init__(self, handles=None, reasons=None,):
+        self.handles = handles
+        self.reasons = reasons
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.handles = []
+                    (_etype158, _size155) = iprot.readListBegin()
+                    for _i159 in range(_size155):
+                        _elem160 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.handles.append(_elem160)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.reasons = []
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.reasons.append(_elem166)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StageReply')
+        if self.handles is not None:
+            oprot.writeFieldBegin('handles', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.handles))
+            for iter167 in self.handles:
+                oprot.writeString(iter167.encode('utf-8') if sys.version_info[0] == 2 else iter167)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.reasons is not None:
+            oprot.writeFieldBegin('reasons', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.reasons))
+            for iter168 in self.reasons:
+                oprot.writeString(iter168.encode('utf-8') if sys.version_info[0] == 2 else iter168)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StageCancel(object):
+    """
+    Attributes:
+     - call_id
+
+    """
+
+    __slots__ = (
+        'call_id',
+    )
+
+
+    def __init__(self, call_id=None,):
+        self.call_id = call_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.call_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StageCancel')
+        if self.call_id is not None:
+            oprot.writeFieldBegin('call_id', TType.STRING, 1)
+            oprot.writeString(self.call_id.encode('utf-8') if sys.version_info[0] == 2 else self.call_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PingRequest(object):
+    """
+    Attributes:
+     - sender
+
+    """
+
+    __slots__ = (
+        'sender',
+    )
+
+
+    def __init__(self, sender=None,):
+        self.sender = sender
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PingRequest')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRING, 1)
+            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PingReply(object):
+    """
+    Attributes:
+     - identity
+
+    """
+
+    __slots__ = (
+        'identity',
+    )
+
+
+    def __init__(self, identity=None,):
+        self.identity = identity
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PingReply')
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 1)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class JoinRequest(object):
+    """
+    Attributes:
+     - member
+
+    """
+
+    __slots__ = (
+        'member',
+    )
+
+
+    def __init__(self, member=None,):
+        self.member = member
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.member = Member()
+                    self.member.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JoinRequest')
+        if self.member is not None:
+            oprot.writeFieldBegin('member', TType.STRUCT, 1)
+            self.member.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class JoinReply(object):
+    """
+    Attributes:
+     - outcome
+     - members
+
+    """
+
+    __slots__ = (
+        'outcome',
+        'members',
+    )
+
+
+    def __init__(self, outcome=None, members=None,):
+        self.outcome = outcome
+        self.members = members
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.outcome = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype172, _size169) = iprot.readListBegin()
+                    for _i173 in range(_size169):
+                        _elem174 = Member()
+                        _elem174.read(iprot)
+                        self.members.append(_elem174)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JoinReply')
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.STRING, 1)
+            oprot.writeString(self.outcome.encode('utf-8') if sys.version_info[0] == 2 else self.outcome)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter175 in self.members:
+                iter175.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReadRequest(object):
+    """
+    Attributes:
+     - sender
+
+    """
+
+    __slots__ = (
+        'sender',
+    )
+
+
+    def __init__(self, sender=None,):
+        self.sender = sender
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReadRequest')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRING, 1)
+            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReadReply(object):
+    """
+    Attributes:
+     - number
+     - digest
+     - entities
+
+    """
+
+    __slots__ = (
+        'number',
+        'digest',
+        'entities',
+    )
+
+
+    def __init__(self, number=None, digest=None, entities=None,):
+        self.number = number
+        self.digest = digest
+        self.entities = entities
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.MAP:
+                    self.entities = {}
+                    (_ktype177, _vtype178, _size176) = iprot.readMapBegin()
+                    for _i180 in range(_size176):
+                        _key181 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val182 = iprot.readBinary()
+                        self.entities[_key181] = _val182
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReadReply')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 2)
+            oprot.writeBinary(self.digest)
+            oprot.writeFieldEnd()
+        if self.entities is not None:
+            oprot.writeFieldBegin('entities', TType.MAP, 3)
+            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.entities))
+            for kiter183, viter184 in self.entities.items():
+                oprot.writeString(kiter183.encode('utf-8') if sys.version_info[0] == 2 else kiter183)
+                oprot.writeBinary(viter184)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -4978,5 +6240,94 @@
     (1, TType.BOOL, 'found', None, None, ),  # 1
     (2, TType.STRING, 'result', 'BINARY', None, ),  # 2
 )
+all_structs.append(TargetRecord)
+TargetRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'identity', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'pool', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'data_centre', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'version', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'slots', None, None, ),  # 6
+    (7, TType.STRING, 'state', 'UTF8', None, ),  # 7
+    (8, TType.I64, 'sequence', None, None, ),  # 8
+    (9, TType.DOUBLE, 'warming', None, None, ),  # 9
+    (10, TType.DOUBLE, 'age', None, None, ),  # 10
+)
+all_structs.append(RegistryRequest)
+RegistryRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'epoch', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'version', None, None, ),  # 3
+)
+all_structs.append(RegistryReply)
+RegistryReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'epoch', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.LIST, 'targets', (TType.STRUCT, [TargetRecord, None], False), None, ),  # 3
+    (4, TType.MAP, 'ages', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 4
+    (5, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 5
+)
+all_structs.append(StageRequest)
+StageRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'stage', None, None, ),  # 3
+    (4, TType.LIST, 'pieces', (TType.I32, None, False), None, ),  # 4
+    (5, TType.STRING, 'key', 'UTF8', None, ),  # 5
+    (6, TType.LIST, 'inputs', (TType.STRING, 'UTF8', False), None, ),  # 6
+    (7, TType.DOUBLE, 'seconds_left', None, None, ),  # 7
+    (8, TType.I32, 'priority', None, None, ),  # 8
+    (9, TType.I64, 'result_bytes', None, None, ),  # 9
+    (10, TType.STRING, 'call_id', 'UTF8', None, ),  # 10
+    (11, TType.DOUBLE, 'seconds_to_start', None, None, ),  # 11
+)
+all_structs.append(StageReply)
+StageReply.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'handles', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.LIST, 'reasons', (TType.STRING, 'UTF8', False), None, ),  # 2
+)
+all_structs.append(StageCancel)
+StageCancel.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
+)
+all_structs.append(PingRequest)
+PingRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
+)
+all_structs.append(PingReply)
+PingReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'identity', 'UTF8', None, ),  # 1
+)
+all_structs.append(JoinRequest)
+JoinRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'member', [Member, None], None, ),  # 1
+)
+all_structs.append(JoinReply)
+JoinReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'outcome', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 2
+)
+all_structs.append(ReadRequest)
+ReadRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
+)
+all_structs.append(ReadReply)
+ReadReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.STRING, 'digest', 'BINARY', None, ),  # 2
+    (3, TType.MAP, 'entities', (TType.STRING, 'UTF8', TType.STRING, 'BINARY', False), None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/traystall/rpc/messages.py
+++ b/traystall/rpc/messages.py
@@ -37,6 +37,12 @@
     Method.FETCH_RESULT: ttypes.FetchResultRequest,
     Method.HANDOVER: ttypes.HandoverRequest,
     Method.BORROW: ttypes.BorrowRequest,
+    Method.REGISTRY: ttypes.RegistryRequest,
+    Method.STAGE: ttypes.StageRequest,
+    Method.STAGE_CANCEL: ttypes.StageCancel,
+    Method.PING: ttypes.PingRequest,
+    Method.JOIN: ttypes.JoinRequest,
+    Method.READ: ttypes.ReadRequest,
 }
 REPLY_TYPES = {
     Method.HELLO: ttypes.HelloReply,
@@ -53,6 +59,11 @@
     Method.FETCH_RESULT: ttypes.FetchResultReply,
     Method.HANDOVER: ttypes.HandoverReply,
     Method.BORROW: ttypes.BorrowReply,
+    Method.REGISTRY: ttypes.RegistryReply,
+    Method.STAGE: ttypes.StageReply,
+    Method.PING: ttypes.PingReply,
+    Method.JOIN: ttypes.JoinReply,
+    Method.READ: ttypes.ReadReply,
 }
 METHOD_OF_REQUEST = {kind: method for method, kind in REQUEST_TYPES.items()}
 
--- a/traystall/rpc/records.py
+++ b/traystall/rpc/records.py
@@ -1,6 +1,6 @@
 """Turn rows of the gateway directory into wire records and back."""
 
-from traystall.rpc.gen.wire.ttypes import GatewayRecord
+from traystall.rpc.gen.wire.ttypes import GatewayRecord, Member
 from traystall.tables.gateways import GatewayRow
 
 
@@ -33,3 +33,13 @@
         age=now - row.seen_at,
         leaving=list(row.leaving),
     )
+
+
+def to_wire_member(member) -> Member:
+    """Return a member record as a wire message."""
+    return Member(
+        identity=member.identity,
+        address=member.address,
+        data_centre=member.data_centre,
+        voter=member.voter,
+    )
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -25,6 +25,12 @@
   FETCH_RESULT = 20
   HANDOVER = 21
   BORROW = 22
+  REGISTRY = 23
+  STAGE = 24
+  STAGE_CANCEL = 25
+  PING = 26
+  JOIN = 27
+  READ = 28
 }
 
 // One framed exchange. call_id 0 means that no reply is expected.
@@ -147,3 +153,34 @@
 struct HoldResultReply { 1: bool held }
 struct FetchResultRequest { 1: string claim_id, 2: string customer, 3: string data_centre }
 struct FetchResultReply { 1: bool found, 2: binary result }
+
+// ---- targets that register themselves ----
+struct TargetRecord {
+  1: string identity, 2: string pool, 3: string address, 4: string data_centre
+  5: string version, 6: i32 slots, 7: string state, 8: i64 sequence
+  // Seconds of slow start left, and seconds since the target's last own report.
+  9: double warming, 10: double age
+}
+// A watch of one registry: `epoch` names the life of the registry, `version` what is known of it.
+struct RegistryRequest { 1: string sender, 2: string epoch, 3: i64 version }
+struct RegistryReply {
+  1: string epoch, 2: i64 version, 3: list<TargetRecord> targets
+  4: map<string, double> ages, 5: list<Member> members
+}
+
+// ---- pieces of stages, gathered by one gateway a pool ----
+struct StageRequest {
+  1: string pool, 2: string request_id, 3: i32 stage, 4: list<i32> pieces
+  5: string key, 6: list<string> inputs, 7: double seconds_left, 8: i32 priority
+  9: i64 result_bytes, 10: string call_id, 11: double seconds_to_start
+}
+struct StageReply { 1: list<string> handles, 2: list<string> reasons }
+struct StageCancel { 1: string call_id }
+struct PingRequest { 1: string sender }
+struct PingReply { 1: string identity }
+
+// ---- members that come by themselves, reads of the configuration ----
+struct JoinRequest { 1: Member member }
+struct JoinReply { 1: string outcome, 2: list<Member> members }
+struct ReadRequest { 1: string sender }
+struct ReadReply { 1: i64 number, 2: binary digest, 3: map<string, binary> entities }
--- a/traystall/storage/folder.py
+++ b/traystall/storage/folder.py
@@ -1,10 +1,13 @@
 """The data folder of a control daemon: identity, log segments, snapshot.
 
 Everything here blocks; the daemon calls it from one storage thread. A failed
-write or sync raises DiskFailed and is never tried again, because after a
-failed fsync nobody knows what the disk holds.
+write or sync raises DiskFailed. After a failed fsync nobody knows what the disk
+holds beyond the last good sync, so nothing is assumed of it: `retry` cuts the
+segment back to its synced length and writes all that is still owed to a new one.
 """
 
+import contextlib
+import errno
 import fcntl
 import os
 from pathlib import Path
@@ -101,6 +104,8 @@
         self._hard_state = HardState()
         self._entries: list[StoredEntry] = []
         self._lock = None
+        self._owed: list[BatchStep | SaveSnapshot] = []
+        self._damaged: Path | None = None
         self.identity: Identity | None = None
 
     def open(self, cluster: str, instance: str) -> Recovered:
@@ -119,20 +124,56 @@
         return Recovered(self._hard_state, ReplicaLog(snapshot, entries))
 
     def write(self, writes) -> None:
-        """Make `writes` durable in their order; return only once they are synced."""
+        """Make `writes` durable in their order; return only once they are synced.
+
+        After DiskFailed the writes are owed: call `retry` until it succeeds.
+        """
+        for write in writes:
+            owed = write if isinstance(write, SaveSnapshot) else self._to_step(write)
+            self._owed.append(owed)
+        self._pay()
+
+    def retry(self) -> None:
+        """Try again to make durable what is owed; raise DiskFailed if the disk still refuses."""
+        try:
+            self._leave_damaged()
+        except OSError as error:
+            raise DiskFailed(f"The disk of {self._path} still fails: {error}.") from error
+        self._pay()
+
+    def _pay(self):
         try:
-            pending = []
-            for write in writes:
-                if isinstance(write, SaveSnapshot):
-                    self._write_batch(pending)
-                    pending = []
-                    self._save_snapshot(write)
-                else:
-                    pending.append(self._to_step(write))
-            self._write_batch(pending)
+            while self._owed:
+                self._pay_next()
         except OSError as error:
+            self._damaged = self._current_path()
             raise DiskFailed(f"A write to {self._path} failed: {error}.") from error
 
+    def _pay_next(self):
+        if isinstance(self._owed[0], SaveSnapshot):
+            self._save_snapshot(self._owed[0])
+            del self._owed[0]
+            return
+        steps = []
+        for owed in self._owed:
+            if isinstance(owed, SaveSnapshot):
+                break
+            steps.append(owed)
+        self._write_batch(steps)
+        del self._owed[: len(steps)]
+
+    def _leave_damaged(self):
+        """Cut the segment whose write failed to what was synced, and go on in a new one."""
+        if self._damaged is None:
+            return
+        if self._damaged.exists():
+            self._cut(self._damaged, self._segment_bytes)
+        self._roll()
+        self._damaged = None
+
+    def _current_path(self):
+        return self._path / f"log-{self._segment_number:012d}.wal"
+
     def close(self) -> None:
         """Close the open files."""
         for held in (self._segment, self._lock):
@@ -213,7 +254,7 @@
             self._segment_number = max(self._segment_number, self._first_segment - 1)
             self._roll()
             return
-        self._segment = open(segments[-1], "ab")  # noqa: SIM115 - held until close.
+        self._segment = open(segments[-1], "ab", buffering=0)  # noqa: SIM115 - held until close.
         self._segment_bytes = segments[-1].stat().st_size
 
     def _to_step(self, write):
@@ -234,17 +275,18 @@
         if self._segment_bytes >= SEGMENT_BYTES:
             self._roll()
         record = encode_record(pack(Batch(steps)))
-        self._segment.write(record)
-        self._segment.flush()
+        if self._segment.write(record) != len(record):
+            raise OSError(errno.ENOSPC, "The disk took only a part of a record.")
         os.fsync(self._segment.fileno())
         self._segment_bytes += len(record)
 
     def _roll(self):
         if self._segment is not None:
-            self._segment.close()
+            # What a failed write has left in the buffer must not be written by the close.
+            with contextlib.suppress(OSError):
+                self._segment.close()
         self._segment_number += 1
-        path = self._path / f"log-{self._segment_number:012d}.wal"
-        self._segment = open(path, "ab")  # noqa: SIM115 - held until close.
+        self._segment = open(self._current_path(), "ab", buffering=0)  # noqa: SIM115 - held until close.
         self._segment_bytes = 0
         self._sync_folder()
 
@@ -265,7 +307,7 @@
         self._roll()
         self._write_batch(self._carry_over(snapshot))
         for path in old:
-            path.unlink()
+            path.unlink(missing_ok=True)
         self._sync_folder()
 
     def _carry_over(self, snapshot):
--- /dev/null
+++ b/traystall/systems/repair.py
@@ -0,0 +1,87 @@
+"""Decide the next change of the control group, so that it mends itself.
+
+One change at a time, each by one voter at most. The rules, in their order:
+
+1. A member whose address now answers with another identity has lost its disk:
+   its old identity can never come back, so it goes.
+2. A newcomer that asks to join becomes a learner.
+3. A learner that has caught up becomes a voter.
+4. A silent voter goes if at least three others are in touch. It may join again.
+
+A silent voter is never removed merely because it is silent while the group has
+no more than three voters in touch: then nothing would be gained by it.
+"""
+
+import msgspec
+
+from traystall.consensus.models import MemberRecord
+
+MIN_VOTERS = 3
+MAX_VOTERS = 7
+# A voter that has not answered its leader for this many seconds counts as silent.
+SILENT_SECONDS = 1.5
+
+
+class GroupView(msgspec.Struct, frozen=True):
+    """Hold what a leader knows of its group.
+
+    `joining` are daemons that asked to join lately; `silent` and `caught_up` are
+    identities of members.
+    """
+
+    members: tuple[MemberRecord, ...]
+    joining: tuple[MemberRecord, ...] = ()
+    silent: frozenset[str] = frozenset()
+    caught_up: frozenset[str] = frozenset()
+    own_identity: str = ""
+
+
+def next_members(view: GroupView) -> tuple[MemberRecord, ...] | None:
+    """Return the members after the next change, or None if none is needed."""
+    return _drop_wiped(view) or _admit(view) or _promote(view) or _drop_silent(view)
+
+
+def _drop_wiped(view):
+    new_identities = {member.address: member.identity for member in view.joining}
+    for member in view.members:
+        successor = new_identities.get(member.address)
+        if successor is None or successor == member.identity:
+            continue
+        if member.identity != view.own_identity:
+            return _without(view, member.identity)
+    return None
+
+
+def _admit(view):
+    known = {member.identity for member in view.members}
+    for newcomer in view.joining:
+        if newcomer.identity not in known:
+            learner = msgspec.structs.replace(newcomer, voter=False)
+            return (*view.members, learner)
+    return None
+
+
+def _promote(view):
+    voters = [member for member in view.members if member.voter]
+    if len(voters) >= MAX_VOTERS:
+        return None
+    for member in view.members:
+        ready = member.identity in view.caught_up and member.identity not in view.silent
+        if not member.voter and ready:
+            promoted = msgspec.structs.replace(member, voter=True)
+            return (*_without(view, member.identity), promoted)
+    return None
+
+
+def _drop_silent(view):
+    heard = [m for m in view.members if m.voter and m.identity not in view.silent]
+    for member in view.members:
+        if member.identity not in view.silent or member.identity == view.own_identity:
+            continue
+        if len(heard) >= MIN_VOTERS:
+            return _without(view, member.identity)
+    return None
+
+
+def _without(view, identity):
+    return tuple(member for member in view.members if member.identity != identity)
