--- a/traystall/passthrough/board.py
+++ b/traystall/passthrough/board.py
@@ -150,4 +150,4 @@
 
 def rendezvous_order(key: str, names: list[str]) -> list[str]:
     """Return `names` in the order in which `key` prefers them; the same at every gateway."""
-    return sorted(names, key=lambda name: xxhash.xxh64_intdigest(f"{key}\0{name}"))
+    return sorted(names, key=lambda name: xxhash.xxh64_intdigest(f"{key}\0{name}".encode()))
