--- /dev/null
+++ b/tests/passthrough/test_exchange_faults.py
@@ -0,0 +1,225 @@
+"""Each fault of a target, on each kind of route: what is told is true, and nothing runs twice."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from tests.support.emulator.gateway import EmulatedGateway, run, table
+from tests.support.emulator.runner import FAULTS, Runner
+
+PROMISES = (408, 421, 429, 503)
+# What a fault leaves behind: whether the request has run or may have run at its target.
+NOT_RUN = ("not run", "misdirected")
+# The gateway can't tell these from a request that was read.
+DOUBTFUL = ("closed unread", "reset after reading")
+GOOD = ("none", "answered twice", "unframed")
+
+
+async def _play(path, faults, timeout=2.0, **options):
+    first = await Runner("r-1", faults=faults).start()
+    second = await Runner("r-2", faults=faults).start()
+    try:
+        routing = table(timeout=timeout, **options)
+        async with EmulatedGateway(routing, [("plain", first), ("plain", second)]) as gateway:
+            answer = await gateway.call(path)
+        return answer, [*first.runs, *second.runs], [*first.rejected, *second.rejected]
+    finally:
+        await first.stop()
+        await second.stop()
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_at_most_once(fault):
+    timeout = 0.4 if fault == "silent" else 2.0
+    (status, _, body), runs, _ = run(_play("/once/x", [fault], timeout))
+    # The second target has the same fault: a request that may run again elsewhere is seen there.
+    assert len(runs) <= 1
+    if runs:
+        assert status not in PROMISES
+    if status == 200:
+        assert body == b"answer to hello"
+        assert fault in GOOD
+    if fault in GOOD:
+        assert status == 200
+    if fault in NOT_RUN:
+        assert status == 503
+    if fault in DOUBTFUL:
+        assert status == 502
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_repeatable_within_its_attempts(fault):
+    timeout = 0.4 if fault == "silent" else 2.0
+    (status, headers, body), runs, rejected = run(_play("/again/x", [fault], timeout))
+    assert len(runs) + len(rejected) <= 2
+    if status == 200:
+        assert body == b"answer to hello"
+        assert headers["Traystall-Signature"].startswith("signed by")
+    if fault in GOOD:
+        assert status == 200
+
+
+@pytest.mark.parametrize("fault", [f for f in FAULTS if f not in ("none", "silent", *GOOD)])
+def test_repeatable_is_served_by_the_other_target(fault):
+    async def play():
+        bad = await Runner("r-1", faults=[fault] * 50).start()
+        good = await Runner("r-2").start()
+        try:
+            async with EmulatedGateway(table(), [("plain", bad), ("plain", good)]) as gateway:
+                return [await gateway.call("/again/x") for _ in range(6)], bad, good
+        finally:
+            await bad.stop()
+            await good.stop()
+
+    answers, bad, good = run(play())
+    assert [status for status, _, _ in answers] == [200] * 6
+    assert all(body == b"answer to hello" for _, _, body in answers)
+    assert len(good.runs) == 6
+
+
+def test_targets_own_failure_comes_back_unchanged():
+    (status, headers, body), runs, _ = run(_play("/once/x", ["failed"]))
+    assert (status, body, len(runs)) == (500, b"it failed", 1)
+    assert headers["Traystall-Signature"] == f"signed by {'r-1' if runs else ''}" or headers[
+        "Traystall-Signature"
+    ].startswith("signed by r-")
+
+
+def test_surplus_answer_is_never_taken_for_the_next():
+    async def play():
+        runner = await Runner(faults=["answered twice"] * 3).start()
+        try:
+            async with EmulatedGateway(table(), [("plain", runner)]) as gateway:
+                answers = [await gateway.call("/once/x", body=b"%d" % i) for i in range(5)]
+            return answers
+        finally:
+            await runner.stop()
+
+    answers = run(play())
+    assert [body for _, _, body in answers] == [b"answer to %d" % i for i in range(5)]
+
+
+def test_request_is_untouched_but_for_what_a_gateway_sets():
+    async def play():
+        runner = await Runner().start()
+        try:
+            async with EmulatedGateway(table(), [("plain", runner)]) as gateway:
+                await gateway.call(
+                    "/once/a%2Fb//c?x=%7e&y=1",
+                    body=b"\x00\xff",
+                    **{
+                        "X-Own": "value",
+                        "Traystall-Customer": "someone-else",
+                        "Traystall-Inputs": "forged",
+                        "Traystall-Deadline-Ms": "700",
+                    },
+                )
+            return runner.runs
+        finally:
+            await runner.stop()
+
+    (seen,) = run(play())
+    assert seen["method"] == "POST"
+    assert seen["body"] == b"\x00\xff"
+    assert seen["headers"]["x-own"] == "value"
+    assert seen["headers"]["traystall-customer"] == "ana"
+    assert seen["headers"]["traystall-expected-incarnation"] == "r-1"
+    assert 0 < int(seen["headers"]["traystall-deadline-ms"]) <= 700
+    assert "authorization" not in seen["headers"]
+    assert "traystall-inputs" not in seen["headers"]
+
+
+def test_raw_path_and_query_are_kept():
+    async def play():
+        runner = await Runner().start()
+        try:
+            async with EmulatedGateway(table(), [("plain", runner)]) as gateway:
+                reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+                writer.write(
+                    b"GET /once/a%2Fb//c%7e?x=%7e&y='1' HTTP/1.1\r\nHost: shop.example:80\r\n"
+                    b"Traystall-Request-Id: q1\r\nAuthorization: Token key-1\r\n\r\n"
+                )
+                head = await reader.readuntil(b"\r\n\r\n")
+                writer.close()
+            return head, runner.runs
+        finally:
+            await runner.stop()
+
+    head, (seen,) = run(play())
+    assert head.startswith(b"HTTP/1.1 200")
+    assert seen["path"] == "/once/a%2Fb//c%7e?x=%7e&y='1'"
+    assert "content-length" not in seen["headers"]
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/nowhere/", "key-1", 404),
+        ("/once/x", "unknown", 401),
+        ("/once/x", "", 401),
+        ("/open/x", "", 200),
+        ("/open/x", "unknown", 200),
+    ],
+)
+def test_routes_and_keys(path, key, status):
+    async def play():
+        runner = await Runner().start()
+        try:
+            async with EmulatedGateway(table(), [("plain", runner)]) as gateway:
+                return await gateway.call(path, key=key), runner.runs
+        finally:
+            await runner.stop()
+
+    (found, _, _), runs = run(play())
+    assert found == status
+    assert len(runs) == (1 if status == 200 else 0)
+
+
+def test_no_configuration_is_not_run_and_says_when_to_come_back():
+    async def play():
+        async with EmulatedGateway(table(number=0), []) as gateway:
+            return await gateway.call()
+
+    status, headers, _ = run(play())
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+
+
+def test_budget_bounds_what_is_sent_again():
+    from traystall.passthrough.budget import BudgetRule
+
+    async def play():
+        runners = [await Runner(f"r-{i}", faults=["failed"] * 100).start() for i in range(2)]
+        rule = BudgetRule(ratio=0.2, slack=0)
+        try:
+            pools = [("plain", runner) for runner in runners]
+            async with EmulatedGateway(table(), pools, budget=rule) as gateway:
+                for _ in range(20):
+                    await gateway.call("/again/x")
+            return sum(len(runner.runs) for runner in runners)
+        finally:
+            for runner in runners:
+                await runner.stop()
+
+    assert run(play()) <= 20 * 1.2
+
+
+def test_caller_that_leaves_ends_the_work():
+    async def play():
+        runner = await Runner(events=500).start()
+        runner.event_seconds = 0.01
+        try:
+            async with EmulatedGateway(table(), [("engine", runner)]) as gateway:
+                with pytest.raises((TimeoutError, aiohttp.ClientError)):
+                    async with asyncio.timeout(0.15):
+                        await gateway.call("/events/x")
+                for _ in range(100):
+                    if runner.dropped:
+                        break
+                    await asyncio.sleep(0.02)
+            return runner.dropped
+        finally:
+            await runner.stop()
+
+    assert run(play()) == 1
--- /dev/null
+++ b/tests/passthrough/test_streams.py
@@ -0,0 +1,138 @@
+"""Streams arrive whole and once, or visibly broken; resumable ones go on elsewhere."""
+
+import aiohttp
+import pytest
+
+from tests.support.emulator.gateway import STAGES, EmulatedGateway, run, table
+from tests.support.emulator.runner import Runner
+from traystall.passthrough.events import EventSplitter, event_id, follows, is_next
+
+
+def whole(count):
+    return b"".join(b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(1, count + 1))
+
+
+async def _play(path, faults, runners=2, **options):
+    engines = [await Runner(f"e-{i}", events=8, faults=faults).start() for i in range(runners)]
+    try:
+        pools = [("engine", engine) for engine in engines]
+        async with EmulatedGateway(table(**options), pools) as gateway:
+            return await gateway.call(path), engines
+    finally:
+        for engine in engines:
+            await engine.stop()
+
+
+def test_whole_stream_is_passed_on():
+    (status, headers, body), _ = run(_play("/events/x", []))
+    assert (status, body) == (200, whole(8))
+    assert headers["X-Kind"] == "stream"
+
+
+def test_broken_stream_is_not_taken_for_whole():
+    with pytest.raises(aiohttp.ClientError):
+        run(_play("/events/x", ["reset in the body"]))
+
+
+def test_resumable_stream_goes_on_at_another_target():
+    (status, headers, body), engines = run(
+        _play("/events/x", ["reset in the body"], resumable=True, max_attempts=4, runners=4)
+    )
+    assert (status, body) == (200, whole(8))
+    runs = [request for engine in engines for request in engine.runs]
+    assert len(runs) > 1
+    first = next(engine for engine in engines if "last-event-id" not in engine.runs[0]["headers"])
+    assert headers["Traystall-Signature"] == f"signed by {first.identity}"
+
+
+def test_resumable_stream_stays_within_its_attempts():
+    async def play():
+        engines = [
+            await Runner(f"e-{i}", events=8, faults=["reset in the body"] * 9).start()
+            for i in range(4)
+        ]
+        try:
+            pools = [("engine", engine) for engine in engines]
+            routing = table(resumable=True, max_attempts=2)
+            async with EmulatedGateway(routing, pools) as gateway:
+                with pytest.raises(aiohttp.ClientError):
+                    await gateway.call("/events/x")
+            return sum(len(engine.runs) for engine in engines)
+        finally:
+            for engine in engines:
+                await engine.stop()
+
+    assert run(play()) == 2
+
+
+@pytest.mark.parametrize("step", range(1, 25))
+def test_events_are_cut_at_their_ends(step):
+    data = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata"
+    splitter = EventSplitter()
+    events = []
+    for at in range(0, len(data), step):
+        events += splitter.feed(data[at : at + step])
+    assert events == [b"id: 1\ndata: a\n\n", b"id: 2\r\ndata: b\r\n\r\n"]
+    assert splitter.partial == b"id: 3\ndata"
+
+
+def test_order_of_events():
+    event = b"id: 7\ndata: x\n\n"
+    assert event_id(event) == "7"
+    assert follows(event, "6") and not follows(event, "7")
+    assert is_next(event, "6") and not is_next(event, "5")
+    assert follows(b"data: x\n\n", "7") and is_next(b"data: x\n\n", "7")
+
+
+async def _staged(maker_faults=(), counts="3,2", room=10**9, makers=2):
+    engine = await Runner("e-1", events=3).start()
+    batches = [
+        await Runner(f"s-{i}", batch=4, room=room, faults=maker_faults).start()
+        for i in range(makers)
+    ]
+    try:
+        pools = [("engine", engine)] + [("batches", maker) for maker in batches]
+        async with EmulatedGateway(table(stages=STAGES), pools) as gateway:
+            answer = await gateway.call(
+                "/staged/x", **{"Traystall-Pieces": counts, "Traystall-Piece-Key": "pk"}
+            )
+            import asyncio
+
+            await asyncio.sleep(0.1)
+        return answer, engine, batches
+    finally:
+        for runner in [engine, *batches]:
+            await runner.stop()
+
+
+@pytest.mark.parametrize("fault", ["none", "not run", "closed after running"])
+def test_stages_are_made_whole_and_given_up(fault):
+    faults = [] if fault == "none" else [fault]
+    (status, _, body), engine, makers = run(_staged(faults))
+    assert (status, body) == (200, whole(3))
+    inputs = engine.runs[0]["headers"]["traystall-inputs"].split(",")
+    assert len(inputs) == len(set(inputs)) == 2
+    items = [item for maker in makers for call in maker.calls for item in call]
+    first = {item["piece"] for item in items if item["stage"] == 0}
+    assert first == {0, 1, 2}
+    for item in items:
+        if item["stage"] == 0:
+            assert item["key"] == "pk"
+        else:
+            assert len(item["inputs"]) == 3
+    if fault == "none":
+        assert all(not maker.held for maker in makers)
+
+
+def test_stage_without_pieces_is_left_out():
+    (status, _, _), engine, makers = run(_staged(counts="0,0"))
+    assert status == 200
+    assert "traystall-inputs" not in engine.runs[0]["headers"]
+    assert not any(maker.calls for maker in makers)
+
+
+def test_request_whose_stage_fails_has_not_run():
+    (status, headers, _), engine, _ = run(_staged(room=0))
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+    assert not engine.runs
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,103 @@
+"""The operator's documents: split, joined unchanged, and refused with the fault named."""
+
+import json
+
+import pytest
+from traystall_platform import documents
+from traystall_platform.node_file import NodeFile
+
+from traystall.core.exceptions import BundleError
+
+ROUTE = {
+    "name": "r-1",
+    "host": "a.example",
+    "path-prefix": "/a/",
+    "kind": "streaming",
+    "timeout-ms": 8000,
+    "goal-ms": 1000,
+    "priority": 1,
+    "backends": [{"service": "llm", "weight": 90}, {"service": "other", "weight": 10}],
+    "max-attempts": 2,
+    "stages": [{"service": "other", "since-rev": [], "bytes": 3000}],
+    "resumable": True,
+    "unknown-field": {"kept": [1, 2]},
+}
+DOCUMENT = {
+    "version": 7,
+    "routes": [
+        ROUTE,
+        {**ROUTE, "name": "r-2", "path-prefix": "/b/", "kind": "idempotent", "service": "llm"},
+    ],
+    "services": [
+        {"name": "llm", "max-conns": 370, "engine": {"slots": 64, "kv-capacity": 600}},
+        {"name": "other", "pieces": {"slots": 1, "batch": 7, "call-ms": 150, "item-ms": 18.5}},
+    ],
+    "limits": {"max-body-bytes": 100},
+    "tenants": [{"name": "ana", "api-keys": ["k1", "k2"], "priority": 1}],
+    "another": "kept",
+}
+
+
+def changed(**fields):
+    return json.dumps({**DOCUMENT, **fields}).encode()
+
+
+def test_what_is_read_back_is_what_was_sent():
+    version, entities = documents.check(changed())
+    assert json.loads(documents.join(version, entities)) == DOCUMENT
+
+
+def test_routes_and_pools_are_translated():
+    table = documents.translate(*documents.check(changed()))
+    first, second = table.routes
+    assert (first.streamed, first.resumable, first.may_run_again) == (True, True, True)
+    assert [(split.pool, split.weight) for split in first.splits] == [("llm", 90), ("other", 10)]
+    assert (first.timeout, first.aim, first.max_attempts) == (8.0, 1.0, 2)
+    assert second.may_run_again and not second.streamed
+    assert table.pools[1].batches.seconds(2) == pytest.approx(0.187)
+    assert table.limits.max_body_bytes == 100
+    assert table.customers[0].keys == ("k1", "k2")
+
+
+def test_without_tenants_no_key_is_wanted():
+    document = {key: value for key, value in DOCUMENT.items() if key != "tenants"}
+    assert documents.translate(*documents.check(json.dumps(document).encode())).customers is None
+
+
+@pytest.mark.parametrize("length", [0, 1, 40, 400, len(changed()) - 1])
+def test_document_that_is_cut_short_is_refused(length):
+    with pytest.raises(BundleError):
+        documents.check(changed()[:length])
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"routes": [{**ROUTE, "backends": [{"service": "none", "weight": 1}]}]},
+        {"routes": [{**ROUTE, "backends": [{"service": "llm", "weight": 0}]}]},
+        {"routes": [{**ROUTE, "timeout-ms": 0}]},
+        {"routes": [ROUTE, ROUTE]},
+        {"routes": [{"name": "r"}]},
+        {"routes": {}},
+        {"routes": [3]},
+        {"version": "x"},
+        {"version": None},
+        {
+            "tenants": [
+                {"name": "ana", "api-keys": ["k"]},
+                {"name": "bo", "api-keys": ["k"]},
+            ]
+        },
+    ],
+)
+def test_invalid_document_is_refused_with_its_fault(fields):
+    with pytest.raises(BundleError) as caught:
+        documents.check(changed(**fields))
+    assert caught.value.problems and all(problem.id for problem in caught.value.problems)
+
+
+def test_settings_file_is_read_and_unknown_fields_are_skipped():
+    node = NodeFile.parse("ip=10.1.0.44\nseeds=10.1.0.44:8628,10.2.0.27:8628\nport-range=7740,7755\nx")
+    assert node.control_links() == ["10.1.0.44:7740", "10.2.0.27:7740"]
+    assert node.number("bounds.grace-s", 8.0) == 8.0
+    assert not node.is_true("bootstrap")
--- /dev/null
+++ b/tests/support/emulator/gateway.py
@@ -0,0 +1,143 @@
+"""One pass-through gateway in this process, over runners, without control daemons."""
+
+import asyncio
+
+import aiohttp
+from aiohttp import web
+
+from traystall.core import clock
+from traystall.core.ids import new_id
+from traystall.passthrough.budget import BudgetRule
+from traystall.passthrough.context import PassContext
+from traystall.passthrough.dialect import HeaderNames, PlainStageDialect
+from traystall.passthrough.front import PassFront
+from traystall.passthrough.gatherer import Gatherer
+from traystall.registry.models import TargetReport
+from traystall.routes.models import (
+    BatchProfile,
+    EngineProfile,
+    KeyedCustomer,
+    Pool,
+    Route,
+    RoutingTable,
+    Split,
+    StagePlan,
+)
+from traystall.routes.tables import RoutingTables
+from traystall.rpc.client import LinkIdentity, LinkPool
+
+HOST = "shop.example"
+KEY = "key-1"
+
+
+class _Held:
+    def __init__(self, table):
+        self.tables = RoutingTables(lambda number, entities: table, table.number, table)
+
+
+class _Follower:
+    def __init__(self, table):
+        self.held = _Held(table)
+        self.directory = []
+
+
+class _Registry:
+    def last_heard(self):
+        return clock.monotonic()
+
+
+def table(*, number=1, max_attempts=2, timeout=2.0, resumable=False, stages=()):
+    """Return routes of every kind: /once/, /again/, /events/ and /staged/."""
+    plain = {
+        "host": HOST,
+        "splits": (Split("plain"),),
+        "timeout": timeout,
+        "max_attempts": max_attempts,
+        "aim": 1.0,
+    }
+    events = plain | {"splits": (Split("engine"),), "streamed": True, "resumable": resumable}
+    return RoutingTable(
+        number=number,
+        routes=(
+            Route("once", path_prefix="/once/", **plain),
+            Route("again", path_prefix="/again/", repeatable=True, **plain),
+            Route("events", path_prefix="/events/", **events),
+            Route("staged", path_prefix="/staged/", stages=tuple(stages), **events),
+            Route("open", path_prefix="/open/", public=True, **plain),
+        ),
+        pools=(
+            Pool("plain", max_connections=100),
+            Pool("engine", max_connections=100, engine=EngineProfile(slots=64)),
+            Pool(
+                "batches",
+                max_connections=100,
+                batches=BatchProfile(slots=1, queue=2, batch=4, room_bytes=10**6),
+            ),
+        ),
+        customers=(KeyedCustomer("ana", (KEY,)),),
+    )
+
+
+STAGES = (StagePlan("batches", (), 10), StagePlan("batches", (0,), 10))
+
+
+class EmulatedGateway:
+    """Run a gateway's front on a free port; use as an asynchronous context manager."""
+
+    def __init__(self, routing_table, runners, names=None, budget=None):
+        self.names = names or HeaderNames()
+        self.context = PassContext(
+            "here",
+            "gateway-1",
+            self.names,
+            PlainStageDialect(),
+            budget or BudgetRule(ratio=1.0, slack=1000),
+        )
+        self.context.follower = _Follower(routing_table)
+        self.context.registry = _Registry()
+        links = LinkPool(LinkIdentity("test", "gateway", "gateway-1"))
+        self.context.gatherer = Gatherer(self.context, links)
+        self.front = PassFront(self.context)
+        for pool, runner in runners:
+            self.add(pool, runner)
+
+    def add(self, pool, runner):
+        report = TargetReport(runner.identity, pool, runner.address, "here", slots=4)
+        self.context.board.merge(report, clock.monotonic())
+
+    async def __aenter__(self):
+        server = web.Server(self.front.handle, access_log=None, handler_cancellation=True)
+        self._runner = web.ServerRunner(server)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        self.port = site._server.sockets[0].getsockname()[1]
+        self.session = aiohttp.ClientSession(auto_decompress=False)
+        return self
+
+    async def __aexit__(self, *error):
+        await self.session.close()
+        self.context.gatherer.close()
+        self.context.board.close()
+        await self._runner.cleanup()
+
+    async def call(self, path="/once/x", body=b"hello", key=KEY, method="POST", **headers):
+        """Return status, headers and body of one request's answer."""
+        names = self.names
+        sent = {"Host": HOST, names.request_id: headers.pop("request_id", new_id())}
+        if key:
+            sent["Authorization"] = f"Token {key}"
+        sent |= headers
+        url = f"http://127.0.0.1:{self.port}{path}"
+        async with self.session.request(method, url, data=body, headers=sent) as response:
+            return response.status, response.headers, await response.read()
+
+
+def run(coroutine):
+    """Run a test's coroutine, bounded."""
+
+    async def bounded():
+        async with asyncio.timeout(20):
+            return await coroutine
+
+    return asyncio.run(bounded())
--- /dev/null
+++ b/tests/support/emulator/runner.py
@@ -0,0 +1,256 @@
+"""A target at the level of bytes: plain services, stages with room, engines with events.
+
+Faults are switches by name; each is taken once, in order, by the next request.
+What it ran is kept in `runs`, what it rejected in `rejected`.
+"""
+
+import asyncio
+import json
+from collections import deque
+
+from traystall.passthrough.dialect import HeaderNames
+
+FAULTS = (
+    "none",
+    "not run",
+    "misdirected",
+    "closed unread",
+    "reset after reading",
+    "closed after running",
+    "reset in the body",
+    "cut in the body",
+    "garbage",
+    "failed",
+    "shed without the mark",
+    "another's answer",
+    "answered twice",
+    "unframed",
+    "unframed and reset",
+    "unsigned",
+    "encoded",
+    "silent",
+)
+
+
+class Runner:
+    """Serve on a free port of the loopback."""
+
+    def __init__(self, identity="r-1", names=None, faults=(), events=0, batch=0, room=10**9):
+        self.identity = identity
+        self.names = names or HeaderNames()
+        self.faults = deque(faults)
+        self.events = events
+        self.batch = batch
+        self.room = room
+        self.call_seconds = 0.0
+        self.event_seconds = 0.0
+        self.stop_after_events = None
+        self.runs = []
+        self.rejected = []
+        self.calls = []
+        self.held = {}
+        self.freed = []
+        self.dropped = 0
+        self.connections = 0
+        self.address = ""
+        self._server = None
+        self._writers = set()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        return self
+
+    async def stop(self):
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while await self._serve_one(reader, writer):
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(self, reader, writer):
+        request = await self._read(reader)
+        if request["path"].endswith("/pieces/run"):
+            return await self._run_pieces(writer, request)
+        if request["path"].endswith("/pieces/free"):
+            return self._free(writer, request)
+        fault = self.faults.popleft() if self.faults else "none"
+        if fault == "closed unread":
+            return False
+        if fault in ("not run", "misdirected"):
+            self.rejected.append(request)
+            status = 503 if fault == "not run" else 421
+            mark = {self.names.not_run: "1"} if fault == "not run" else {}
+            self._answer(writer, request, status, b"", mark, signed=False)
+            return True
+        if fault == "reset after reading":
+            writer.transport.abort()
+            return False
+        if self.names.expected_incarnation.lower() in request["headers"]:
+            wanted = request["headers"][self.names.expected_incarnation.lower()]
+            if wanted != self.identity:
+                self.rejected.append(request)
+                self._answer(writer, request, 421, b"", signed=False)
+                return True
+        self.runs.append(request)
+        if self.events and fault in ("none", "reset in the body", "cut in the body"):
+            return await self._stream(writer, request, fault)
+        return await self._answer_fault(writer, request, fault)
+
+    async def _read(self, reader):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        method, path, _ = head[0].split(" ", 2)
+        raw = [line.partition(": ")[::2] for line in head[1:] if line]
+        headers = {name.lower(): value for name, value in raw}
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        return {"method": method, "path": path, "headers": headers, "raw": raw, "body": body}
+
+    async def _answer_fault(self, writer, request, fault):
+        body = b"answer to " + request["body"]
+        if fault == "closed after running":
+            return False
+        if fault == "silent":
+            await asyncio.sleep(3600)
+        if fault == "garbage":
+            writer.write(b"\x00\x01 no answer at all\r\n\r\n")
+            return False
+        if fault == "failed":
+            self._answer(writer, request, 500, b"it failed")
+            return True
+        if fault == "shed without the mark":
+            self._answer(writer, request, 503, b"", signed=False)
+            return True
+        if fault == "another's answer":
+            self._answer(writer, request, 200, b"another's", {self.names.request_id: "other"})
+            return True
+        if fault == "unsigned":
+            self._answer(writer, request, 200, b"who says so", signed=False)
+            return True
+        if fault == "encoded":
+            self._answer(writer, request, 200, body, {"Content-Encoding": "gzip"})
+            return True
+        if fault in ("unframed", "unframed and reset"):
+            self._write_head(writer, request, 200, None, {})
+            writer.write(body)
+            await writer.drain()
+            if fault == "unframed and reset":
+                await asyncio.sleep(0.02)
+                _reset(writer)
+            return False
+        if fault in ("reset in the body", "cut in the body"):
+            self._write_head(writer, request, 200, len(body), {})
+            writer.write(body[: len(body) // 2])
+            await writer.drain()
+            if fault == "reset in the body":
+                await asyncio.sleep(0.02)
+                _reset(writer)
+            return False
+        if self.call_seconds:
+            await asyncio.sleep(self.call_seconds)
+        self._answer(writer, request, 200, body)
+        if fault == "answered twice":
+            self._answer(writer, request, 200, b"once more")
+        return True
+
+    def _answer(self, writer, request, status, body, extra=None, signed=True):
+        self._write_head(writer, request, status, len(body), extra or {}, signed)
+        writer.write(body)
+
+    def _write_head(self, writer, request, status, length, extra, signed=True):
+        headers = {}
+        request_id = request["headers"].get(self.names.request_id.lower())
+        if request_id:
+            headers[self.names.request_id] = request_id
+        if signed:
+            headers[self.names.signature] = f"signed by {self.identity}"
+        if length is not None:
+            headers["Content-Length"] = str(length)
+        headers |= extra
+        lines = [f"HTTP/1.1 {status} X"] + [f"{k}: {v}" for k, v in headers.items()]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+
+    # ---- engines ----
+
+    async def _stream(self, writer, request, fault):
+        self._write_head(
+            writer, request, 200, None, {"Transfer-Encoding": "chunked", "X-Kind": "stream"}
+        )
+        first = int(request["headers"].get("last-event-id", 0)) + 1
+        for number in range(first, self.events + 1):
+            event = f"id: {number}\ndata: event {number}\n\n".encode()
+            if fault != "none" and number == first + 2:
+                self._chunk(writer, event[:7])
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                _reset(writer)
+                return False
+            self._chunk(writer, event)
+            try:
+                await writer.drain()
+                await asyncio.sleep(self.event_seconds)
+            except ConnectionError:
+                self.dropped += 1
+                raise
+            if writer.is_closing():
+                self.dropped += 1
+                return False
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    def _chunk(self, writer, data):
+        writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+    # ---- stages ----
+
+    async def _run_pieces(self, writer, request):
+        items = json.loads(request["body"])["items"]
+        fault = self.faults.popleft() if self.faults else "none"
+        if fault == "not run":
+            self.rejected.append(request)
+            self._answer(writer, request, 503, b"", {self.names.not_run: "1"}, signed=False)
+            return True
+        self.calls.append(items)
+        if fault == "closed after running":
+            return False
+        if fault == "silent":
+            await asyncio.sleep(3600)
+        await asyncio.sleep(self.call_seconds)
+        results = [self._make(item) for item in items]
+        self._answer(writer, request, 200, json.dumps({"items": results}).encode(), signed=False)
+        return True
+
+    def _make(self, item):
+        if len(self.held) >= self.room:
+            return {"reason": "room"}
+        name = f"{item['request_id']}.{item['stage']}.{item['piece']}.{len(self.calls)}"
+        handle = f"{self.address}/{name}"
+        self.held[handle] = item
+        return {"handle": handle}
+
+    def _free(self, writer, request):
+        for handle in json.loads(request["body"])["handles"]:
+            self.held.pop(handle, None)
+            self.freed.append(handle)
+        self._answer(writer, request, 200, b"", signed=False)
+        return True
+
+
+def _reset(writer):
+    """Send a reset rather than an orderly end."""
+    import socket
+    import struct
+
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
