Count the room of results, make them where they are read, survive a hang-up signal

Change: SIGHUP reads the settings again; the gatherer books room by handle and is told what was given up; pieces go to makers in the likely engine's data centre unless pressing; a leaf stage waits for the longer chain; order by urgency.

--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -9,9 +9,7 @@
 
 
 def report(state="ready", sequence=1, identity="t-1", address="10.0.0.1:80"):
-    return TargetReport(
-        identity, "p", address, state=RegisteredState(state), sequence=sequence
-    )
+    return TargetReport(identity, "p", address, state=RegisteredState(state), sequence=sequence)
 
 
 REPORTS = [
--- a/tests/systems/test_repair.py
+++ b/tests/systems/test_repair.py
@@ -24,9 +24,7 @@
 
 
 def view(members=ABC, joining=(), silent=(), caught_up=(), own="a/1"):
-    return GroupView(
-        tuple(members), tuple(joining), frozenset(silent), frozenset(caught_up), own
-    )
+    return GroupView(tuple(members), tuple(joining), frozenset(silent), frozenset(caught_up), own)
 
 
 def test_whole_group_is_left_alone():
@@ -39,9 +37,7 @@
 
 def test_wiped_member_comes_back_under_its_new_identity():
     wiped = member("c", disk=2, voter=False)
-    steps, voters = settle(
-        view(joining=[wiped], silent={"c/1"}, caught_up={"c/2"})
-    )
+    steps, voters = settle(view(joining=[wiped], silent={"c/1"}, caught_up={"c/2"}))
     assert voters == {"a/1", "b/1", "c/2"}
     assert ("c/1", True) not in steps[0]
 
@@ -68,9 +64,7 @@
 def test_group_does_not_grow_without_bound():
     members = [member(f"m{i}") for i in range(MAX_VOTERS)]
     newcomer = member("z", voter=False)
-    _, voters = settle(
-        view(members, joining=[newcomer], caught_up={"z/1"}, own="m0/1")
-    )
+    _, voters = settle(view(members, joining=[newcomer], caught_up={"z/1"}, own="m0/1"))
     assert "z/1" not in voters
 
 
--- a/traystall/control/daemon.py
+++ b/traystall/control/daemon.py
@@ -49,6 +49,8 @@
         self._settings = settings
         self._address = settings.rpc_advertise or settings.rpc_listen
         self.node: Node | None = None
+        # Control daemons to ask for admission; may change while the daemon runs.
+        self.join_addresses: list[str] = list(settings.join)
 
     async def start(self) -> None:
         """Open the data folder, join the group and begin to serve."""
@@ -82,6 +84,7 @@
         self._background.start(subscribers.share_forever())
         self._background.start(self._orderer.run_forever())
         self._background.start(self._registry_follower.follow_forever())
+        self._background.start(self._reload_forever())
         if repair is not None:
             self._background.start(repair.lead_forever())
             self._background.start(repair.ask_forever())
@@ -103,6 +106,14 @@
         await self._links.close()
         await self._runner.cleanup()
 
+    def reload(self) -> None:
+        """Read the settings again where they can change while the daemon runs; by default none."""
+
+    async def _reload_forever(self):
+        while True:
+            await asyncio.sleep(daemon.RELOAD_SECONDS)
+            self.reload()
+
     async def _open_folder(self, folder):
         """Open the data folder; a disk that refuses is asked again, damage ends the daemon."""
         settings = self._settings
@@ -119,7 +130,7 @@
     def control_addresses(self) -> list[str]:
         """Return the other control daemons that this one knows of."""
         members = {member.address for member in self.node.replica.members}
-        known = members | set(self._settings.join)
+        known = members | set(self.join_addresses)
         return sorted(known - {self._address})
 
     def _start_registry(self, identity):
--- a/traystall/core/daemon.py
+++ b/traystall/core/daemon.py
@@ -13,6 +13,8 @@
 EXIT_FAILED = 1
 EXIT_DISK = 3
 _POOL_SIZE = 4
+# Settings that may change without a signal are read this often, in seconds.
+RELOAD_SECONDS = 2.0
 
 logger = logging.getLogger(__name__)
 
@@ -52,6 +54,14 @@
             failure.result()
 
 
+def _reload(service):
+    """Let a service read its settings again; one that can't do so goes on as it is."""
+    reload = getattr(service, "reload", None)
+    logger.info("reload", extra={"taken": reload is not None})
+    if reload is not None:
+        reload()
+
+
 def run(service: aiomisc.Service, until: Callable[[asyncio.Event], Awaitable[None]]) -> int:
     """Run `service` until `until` returns; it gets an event set by SIGTERM or SIGINT."""
     entrypoint = aiomisc.entrypoint(
@@ -62,6 +72,7 @@
             stopping = asyncio.Event()
             for number in (signal.SIGTERM, signal.SIGINT):
                 loop.add_signal_handler(number, stopping.set)
+            loop.add_signal_handler(signal.SIGHUP, _reload, service)
             loop.run_until_complete(until(stopping))
     except StorageError as error:
         logger.critical("stopped", extra={"why": str(error)})
--- a/traystall/passthrough/batching.py
+++ b/traystall/passthrough/batching.py
@@ -1,15 +1,21 @@
-"""Decide which pieces a free target gets. Pure."""
+"""Decide which pieces a free target gets. Pure; times are monotonic seconds, sizes bytes."""
 
 import msgspec
 
 from traystall.routes.models import BatchProfile
 
+# A piece that should have begun this long ago is no longer likely to be in time.
+_LOST_SECONDS = 0.25
+# A piece goes to a target outside the data centre where its result is read only when it has
+# to begin within this time.
+_PRESSING_SECONDS = 0.3
+
 
 class PieceJob(msgspec.Struct, eq=False):
     """Hold one piece that is to be made.
 
     `due` is when it should begin so that its request is in time, `deadline`
-    when it is of no more use, both in monotonic seconds.
+    when it is of no more use; `data_centre` is where its result will be read.
     """
 
     call_id: str
@@ -22,33 +28,44 @@
     due: float
     deadline: float
     result_bytes: int
+    data_centre: str = ""
     tries: int = 0
 
 
 def order_key(job: PieceJob, now: float) -> tuple:
-    """Return what to sort by: what can still be in time first, and of that the most pressing.
+    """Return what to sort by: what can still be in time first, by urgency, then by time left."""
+    lost = job.due < now - _LOST_SECONDS
+    return (lost, job.priority, job.due, job.request_id, job.stage, job.piece)
 
-    A request that is already too late for its aim waits behind those that are not.
-    """
-    return (job.due < now - _LOST_SECONDS, job.due, job.request_id, job.stage, job.piece)
 
+def may_go(job: PieceJob, data_centre: str, now: float) -> bool:
+    """Return whether a target of `data_centre` may make a piece now.
 
-# A piece that should have begun this long ago, in seconds, is no longer likely to be in time.
-_LOST_SECONDS = 0.25
+    Results that cross data centres cost more than some waiting.
+    """
+    at_home = not job.data_centre or job.data_centre == data_centre
+    return at_home or job.due < now + _PRESSING_SECONDS
 
 
 def take_batch(
-    waiting: list[PieceJob], profile: BatchProfile, room: float, now: float
+    waiting: list[PieceJob],
+    profile: BatchProfile,
+    room: float,
+    now: float,
+    data_centre: str = "",
 ) -> list[PieceJob]:
-    """Return the pieces for one call, the most pressing first, within batch and room."""
+    """Return the pieces for one call of a target, within its batch and room.
+
+    The most pressing go first; a call that takes place anyway is filled up with
+    whatever waits.
+    """
+    live = [job for job in waiting if job.deadline > now]
+    ranked = sorted(live, key=lambda job: order_key(job, now))
     batch: list[PieceJob] = []
-    for job in sorted(waiting, key=lambda job: order_key(job, now)):
-        if job.deadline <= now:
-            continue
-        if job.result_bytes > room:
-            continue
-        room -= job.result_bytes
-        batch.append(job)
+    for job in ranked:
         if len(batch) == profile.batch:
             break
+        if job.result_bytes <= room and may_go(job, data_centre, now):
+            room -= job.result_bytes
+            batch.append(job)
     return batch
--- a/traystall/passthrough/choice.py
+++ b/traystall/passthrough/choice.py
@@ -12,6 +12,8 @@
 # up by about so many seconds.
 PREFILL_TOKENS_PER_SECOND = 60_000.0
 _RUNNING_SECONDS = 0.003
+# From the end of the prompt to the first event.
+_FIRST_EVENT_SECONDS = 0.05
 
 
 class Prompt(msgspec.Struct, frozen=True):
@@ -22,6 +24,10 @@
     output_tokens: int = 0
     shared_key: str = ""
 
+    def seconds(self) -> float:
+        """Return about how long an engine takes to the first token, nothing being kept."""
+        return self.tokens / PREFILL_TOKENS_PER_SECOND + _FIRST_EVENT_SECONDS
+
 
 def parse_prompt(parts: str | None, counts: str | None) -> Prompt:
     """Return what the headers say of a prompt; what can't be read counts as nothing.
--- a/traystall/passthrough/context.py
+++ b/traystall/passthrough/context.py
@@ -11,6 +11,8 @@
 from traystall.routes.matching import RouteIndex
 
 _MIN_CONNECTIONS = 4
+# Weight of the newest duration of a stage.
+_LEARNING = 0.15
 
 
 class PassContext:
@@ -35,6 +37,7 @@
         self.gatherer = None
         self._budget_rule = budget_rule
         self._budgets: dict[str, RepeatBudget] = {}
+        self._stage_seconds: dict[str, float] = {}
 
     @property
     def index(self) -> RouteIndex:
@@ -62,6 +65,18 @@
         """Take repeats from the budget of a pool; return whether it allowed them."""
         return self.budget(pool).take(clock.monotonic(), self.gateways(), count)
 
+    def learn_stage(self, pool: str, seconds: float) -> None:
+        """Learn from a stage that was made how long one takes, its waiting included."""
+        known = self.stage_seconds(pool)
+        self._stage_seconds[pool] = known + _LEARNING * (seconds - known)
+
+    def stage_seconds(self, pool: str) -> float:
+        """Return about how long a stage of a pool takes; a full call where none was made yet."""
+        found = self.index.pools.get(pool)
+        profile = found.batches if found else None
+        usual = profile.seconds(profile.batch) if profile else 0.0
+        return self._stage_seconds.get(pool, usual)
+
     def usable(self, pool: str):
         """Return the targets of a pool to which work may go now."""
         return self.board.usable(pool, clock.monotonic(), self.registry.last_heard())
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -76,6 +76,7 @@
         self._background.start(self.gateway_context.follower.follow_forever())
         self._background.start(self.gateway_context.registry.follow_forever())
         self._background.start(self._pump_forever())
+        self._background.start(self._reload_forever())
         logger.info("started", extra={"identity": self._identity})
 
     async def until_stopped(self, stopping: asyncio.Event) -> None:
@@ -104,6 +105,9 @@
         """Return whether callers should be sent here."""
         return self._state == "serving" and self.gateway_context.index.number > 0
 
+    def reload(self) -> None:
+        """Read the settings again where they can change while the daemon runs; by default none."""
+
     def set_controls(self, addresses: list[str]) -> None:
         """Take new addresses of control daemons from the settings."""
         self._configured_controls = list(addresses)
@@ -149,6 +153,9 @@
         if isinstance(request, ttypes.StageCancel):
             gatherer.cancel(request.call_id)
             return None
+        if isinstance(request, ttypes.StageFreed):
+            gatherer.freed_here(request.pool, request.handles)
+            return None
         if isinstance(request, ttypes.PingRequest):
             return await gatherer.ping(request)
         if isinstance(request, ttypes.WatchRequest):
@@ -160,6 +167,12 @@
             await asyncio.sleep(_PUMP_SECONDS)
             self.gateway_context.gatherer.pump()
 
+    async def _reload_forever(self):
+        """Read the settings again now and then: they may change without a signal."""
+        while True:
+            await asyncio.sleep(daemon.RELOAD_SECONDS)
+            self.reload()
+
     async def _start_front(self):
         self._front = PassFront(self.gateway_context)
         server = web.Server(
--- a/traystall/passthrough/front.py
+++ b/traystall/passthrough/front.py
@@ -53,7 +53,7 @@
         index = self._context.index
         if not index.number:
             raise Refusal(503, "not-ready", "No configuration yet.", NOT_READY_RETRY_AFTER)
-        path = request.message.path.partition("?")[0]
+        path = request.raw_path.partition("?")[0]
         route = index.route(request.headers.get("Host", ""), path)
         if route is None:
             raise Refusal(404, "no-route", "No route has this host and path.")
@@ -95,11 +95,10 @@
             size += len(part)
             if size > limit:
                 raise Refusal(413, "too-large", f"The body is over {limit} bytes.")
-        message = request.message
         return CallerRequest(
-            method=message.method,
-            target=message.path,
-            headers=message.raw_headers,
+            method=request.method,
+            target=request.raw_path,
+            headers=request.raw_headers,
             body=b"".join(parts),
         )
 
--- a/traystall/passthrough/gatherer.py
+++ b/traystall/passthrough/gatherer.py
@@ -21,6 +21,7 @@
     PingReply,
     PingRequest,
     StageCancel,
+    StageFreed,
     StageReply,
     StageRequest,
 )
@@ -78,8 +79,20 @@
         """Answer that this gateway is there."""
         return PingReply(identity=self._context.identity)
 
-    def free(self, handles: list[str]) -> None:
-        """Give results up at their makers, soon and many at a time."""
+    def freed_here(self, pool: str, handles: list[str]) -> None:
+        """Take in that results of a pool were given up."""
+        queue = self._queues.get(pool)
+        if queue is not None:
+            queue.freed(handles)
+
+    def free(self, pool: str, handles: list[str]) -> None:
+        """Give results up at their makers, soon and many at a time; tell who counts their room."""
+        owner = self._owner(pool)
+        if owner is None:
+            self.freed_here(pool, handles)
+        else:
+            link = self._links.link(owner.rpc_address)
+            self._spawn(self._send(link, StageFreed(pool=pool, handles=list(handles))))
         if not self._to_free:
             self._spawn(self._free_soon())
         for handle in handles:
@@ -120,7 +133,7 @@
                 return call.result()
             return watch.result()  # Raises what the watch has found.
         except asyncio.CancelledError:
-            self._spawn(self._cancel_at(link, request.call_id))
+            self._spawn(self._send(link, StageCancel(call_id=request.call_id)))
             raise
         finally:
             watch.cancel()
@@ -133,11 +146,11 @@
             await asyncio.sleep(_PING_SECONDS)
             await link.call(PingRequest(sender=self._context.identity), _PING_TIMEOUT)
 
-    async def _cancel_at(self, link, call_id):
+    async def _send(self, link, message):
         try:
-            await link.send(StageCancel(call_id=call_id))
+            await link.send(message)
         except RpcError as error:
-            logger.debug("cancel not sent", extra={"why": str(error)})
+            logger.debug("gatherer not told", extra={"why": str(error)})
 
     # ---- this gateway gathers ----
 
--- a/traystall/passthrough/piece_queue.py
+++ b/traystall/passthrough/piece_queue.py
@@ -10,6 +10,7 @@
 from traystall.passthrough.batching import PieceJob, take_batch
 from traystall.passthrough.dialect import PieceOrder, PieceResult
 from traystall.passthrough.exceptions import ConnectFailed, ExchangeError, NoAnswer
+from traystall.passthrough.room import RoomBook
 from traystall.routes.models import BatchProfile
 from traystall.rpc.gen.wire.ttypes import StageReply, StageRequest
 
@@ -41,7 +42,7 @@
         self._waiting: list[PieceJob] = []
         self._calls: dict[str, _Call] = {}
         self._busy: dict[str, int] = {}
-        self._room: dict[str, list[tuple[float, int]]] = {}
+        self._room: dict[str, RoomBook] = {}
         self._tasks: set[asyncio.Task] = set()
         self._timer: asyncio.TimerHandle | None = None
 
@@ -77,11 +78,14 @@
             return
         now = clock.monotonic()
         for view in self._free_targets(profile, now):
-            batch = take_batch(self._waiting, profile, self._room_left(view, profile, now), now)
+            room = profile.room_bytes - self._book(view).taken(now)
+            batch = take_batch(self._waiting, profile, room, now, view.report.data_centre)
             if not batch:
                 continue
             taken = set(map(id, batch))
             self._waiting = [job for job in self._waiting if id(job) not in taken]
+            # Counted here, not in the task: until that runs the target would look free.
+            self._busy[view.identity] = self._busy.get(view.identity, 0) + 1
             self._spawn(self._call(view, batch, profile))
         if self._waiting:
             self._pump_later(_SOON_SECONDS)
@@ -98,14 +102,22 @@
         ]
         return sorted(free, key=lambda view: (view.mean_seconds, view.identity))
 
-    def _room_left(self, view, profile, now):
-        held = self._room.get(view.identity, [])
-        held[:] = [(until, size) for until, size in held if until > now]
-        return profile.room_bytes - sum(size for _, size in held)
+    def _book(self, view) -> RoomBook:
+        return self._room.setdefault(view.report.address, RoomBook())
+
+    def freed(self, handles: list[str]) -> None:
+        """Take in that results were given up, and use the room."""
+        for handle in handles:
+            book = self._room.get(self._context.stage_dialect.maker(handle))
+            if book is not None:
+                book.free(handle)
+        self.pump()
 
     async def _call(self, view, batch, profile):
         identity = view.identity
-        self._busy[identity] = self._busy.get(identity, 0) + 1
+        book = self._book(view)
+        size = sum(job.result_bytes for job in batch)
+        book.reserve(size)
         view.running += 1
         began = clock.monotonic()
         try:
@@ -123,6 +135,7 @@
         finally:
             self._busy[identity] -= 1
             view.running -= 1
+            book.unreserve(size)
         self._settle(view, batch, results, profile)
         decision(
             "pieces",
@@ -166,8 +179,8 @@
         orphans = []
         for job, result in zip(batch, results, strict=True):
             if result.handle:
-                held = self._room.setdefault(view.identity, [])
-                held.append((now + _HELD_SECONDS, job.result_bytes))
+                until = now + profile.result_lifetime
+                self._book(view).hold(result.handle, job.result_bytes, until)
             call = self._calls.get(job.call_id)
             if call is None:
                 orphans += [result.handle] if result.handle else []
@@ -178,7 +191,7 @@
             if result.reason == "room":
                 view.avoid_until = max(view.avoid_until, now + _PAUSE_SECONDS)
         if orphans:
-            self._context.gatherer.free(orphans)
+            self._context.gatherer.free(self._pool, orphans)
 
     def _try_again(self, job, reason, now) -> bool:
         if reason == "unreachable":
@@ -215,10 +228,6 @@
         task.add_done_callback(self._tasks.discard)
 
 
-# About how long a result takes room at its maker before it is given up, in seconds.
-_HELD_SECONDS = 0.4
-
-
 def _to_job(request, piece, now) -> PieceJob:
     return PieceJob(
         call_id=request.call_id,
@@ -231,6 +240,7 @@
         due=now + (request.seconds_to_start or 0.0),
         deadline=now + (request.seconds_left or 0.0),
         result_bytes=request.result_bytes or 0,
+        data_centre=request.data_centre or "",
     )
 
 
--- a/traystall/passthrough/request.py
+++ b/traystall/passthrough/request.py
@@ -38,6 +38,8 @@
         self.piece_key = caller.get(names.piece_key) or ""
         self.piece_counts = _parse_counts(caller.get(names.pieces), len(route.stages))
         self.inputs: tuple[str, ...] = ()
+        # The data centre where the results of the stages will be read, as far as it is known.
+        self.home = ""
         # What became of it.
         self.attempts = 0
         self.tried: set[str] = set()
--- a/traystall/passthrough/runner.py
+++ b/traystall/passthrough/runner.py
@@ -94,6 +94,8 @@
         if not any(passed.piece_counts):
             return
         began = clock.monotonic()
+        likely = self._choose(passed)
+        passed.home = likely.report.data_centre if likely else ""
         try:
             passed.inputs = await chain.run()
         except StageFailed as error:
--- a/traystall/passthrough/stages.py
+++ b/traystall/passthrough/stages.py
@@ -7,6 +7,9 @@
 from traystall.core.ids import new_id
 from traystall.rpc.gen.wire.ttypes import StageRequest
 
+# The part of the learned difference between two chains that the shorter one waits.
+_DELAY_SHARE = 0.7
+
 
 class StageFailed(GatewayError):
     """Report a stage whose pieces can't all be made in time; the request itself has not run."""
@@ -44,11 +47,14 @@
 
     def free(self) -> None:
         """Give up every result that is still held."""
-        self._free([handle for handles in self._handles.values() for handle in handles])
+        for index, handles in self._handles.items():
+            self._free(index, handles)
 
     async def _run_stage(self, index, count, earlier):
         if earlier:
             await asyncio.gather(*earlier)
+        else:
+            await asyncio.sleep(self._delay(index))
         passed = self._passed
         plan = passed.route.stages[index]
         inputs = [handle for i in plan.after for handle in self._handles.get(i, ())]
@@ -66,26 +72,39 @@
             priority=passed.priority,
             result_bytes=plan.result_bytes,
             call_id=new_id(),
+            data_centre=passed.home,
         )
+        began = clock.monotonic()
         reply = await self._context.gatherer.run(request)
+        self._context.learn_stage(plan.pool, clock.monotonic() - began)
         self._handles[index] = [handle for handle in reply.handles if handle]
         if len(self._handles[index]) < count:
             reasons = sorted({reason for reason in reply.reasons if reason})
             raise StageFailed(f"Stage {index} was not made: {', '.join(reasons)}.")
         self._free_read(index)
 
+    def _delay(self, index) -> float:
+        """Return how long a stage may wait so that its results are not ready before the others.
+
+        Results that wait for a longer chain beside them take room for nothing.
+        """
+        longest = max(
+            (self._seconds_from(i) for i, count in enumerate(self._passed.piece_counts) if count),
+            default=0.0,
+        )
+        return max(0.0, longest - self._seconds_from(index)) * _DELAY_SHARE
+
     def _seconds_to_start(self, index) -> float:
         """Return when this stage should begin so that the request can still be in time."""
         passed = self._passed
         left = passed.started + passed.route.aim - clock.monotonic()
-        return left - self._seconds_from(index)
+        return left - self._seconds_from(index) - passed.prompt.seconds()
 
     def _seconds_from(self, index) -> float:
         """Return about how long this stage and the longest chain after it take."""
         route = self._passed.route
         count = self._passed.piece_counts[index]
-        pool = self._context.index.pools.get(route.stages[index].pool)
-        own = pool.batches.seconds(count) if pool and pool.batches and count else 0.0
+        own = self._context.stage_seconds(route.stages[index].pool) if count else 0.0
         later = [i for i, stage in enumerate(route.stages) if index in stage.after]
         return own + max((self._seconds_from(i) for i in later), default=0.0)
 
@@ -99,10 +118,10 @@
                 if earlier in stage.after and self._passed.piece_counts[i]
             ]
             if all(reader in self._handles for reader in readers):
-                self._free(self._handles.get(earlier, ()))
+                self._free(earlier, self._handles.get(earlier, ()))
 
-    def _free(self, handles):
+    def _free(self, index, handles):
         news = [handle for handle in handles if handle not in self._freed]
         self._freed.update(news)
         if news:
-            self._context.gatherer.free(news)
+            self._context.gatherer.free(self._passed.route.stages[index].pool, news)
--- a/traystall/rpc/gen/wire/ttypes.py
+++ b/traystall/rpc/gen/wire/ttypes.py
@@ -44,6 +44,7 @@
     PING = 26
     JOIN = 27
     READ = 28
+    STAGE_FREED = 29
 
     _VALUES_TO_NAMES = {
         1: "HELLO",
@@ -73,6 +74,7 @@
         26: "PING",
         27: "JOIN",
         28: "READ",
+        29: "STAGE_FREED",
     }
 
     _NAMES_TO_VALUES = {
@@ -103,6 +105,7 @@
         "PING": 26,
         "JOIN": 27,
         "READ": 28,
+        "STAGE_FREED": 29,
     }
 
 
@@ -5056,6 +5059,7 @@
      - result_bytes
      - call_id
      - seconds_to_start
+     - data_centre
 
     """
 
@@ -5071,10 +5075,11 @@
         'result_bytes',
         'call_id',
         'seconds_to_start',
+        'data_centre',
     )
 
 
-    def __init__(self, pool=None, request_id=None, stage=None, pieces=None, key=None, inputs=None, seconds_left=None, priority=None, result_bytes=None, call_id=None, seconds_to_start=None,):
+    def __init__(self, pool=None, request_id=None, stage=None, pieces=None, key=None, inputs=None, seconds_left=None, priority=None, result_bytes=None, call_id=None, seconds_to_start=None, data_centre=None,):
         self.pool = pool
         self.request_id = request_id
         self.stage = stage
@@ -5086,6 +5091,7 @@
         self.result_bytes = result_bytes
         self.call_id = call_id
         self.seconds_to_start = seconds_to_start
+        self.data_centre = data_centre
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5161,6 +5167,11 @@
                     self.seconds_to_start = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5221,6 +5232,10 @@
             oprot.writeFieldBegin('seconds_to_start', TType.DOUBLE, 11)
             oprot.writeDouble(self.seconds_to_start)
             oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 12)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5410,6 +5425,94 @@
         return not (self == other)
 
 
+class StageFreed(object):
+    """
+    Attributes:
+     - pool
+     - handles
+
+    """
+
+    __slots__ = (
+        'pool',
+        'handles',
+    )
+
+
+    def __init__(self, pool=None, handles=None,):
+        self.pool = pool
+        self.handles = handles
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.handles = []
+                    (_etype172, _size169) = iprot.readListBegin()
+                    for _i173 in range(_size169):
+                        _elem174 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.handles.append(_elem174)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StageFreed')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.handles is not None:
+            oprot.writeFieldBegin('handles', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.handles))
+            for iter175 in self.handles:
+                oprot.writeString(iter175.encode('utf-8') if sys.version_info[0] == 2 else iter175)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PingRequest(object):
     """
     Attributes:
@@ -5650,11 +5753,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype172, _size169) = iprot.readListBegin()
-                    for _i173 in range(_size169):
-                        _elem174 = Member()
-                        _elem174.read(iprot)
-                        self.members.append(_elem174)
+                    (_etype179, _size176) = iprot.readListBegin()
+                    for _i180 in range(_size176):
+                        _elem181 = Member()
+                        _elem181.read(iprot)
+                        self.members.append(_elem181)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5675,8 +5778,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter175 in self.members:
-                iter175.write(oprot)
+            for iter182 in self.members:
+                iter182.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5815,11 +5918,11 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.entities = {}
-                    (_ktype177, _vtype178, _size176) = iprot.readMapBegin()
-                    for _i180 in range(_size176):
-                        _key181 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val182 = iprot.readBinary()
-                        self.entities[_key181] = _val182
+                    (_ktype184, _vtype185, _size183) = iprot.readMapBegin()
+                    for _i187 in range(_size183):
+                        _key188 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val189 = iprot.readBinary()
+                        self.entities[_key188] = _val189
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -5844,9 +5947,9 @@
         if self.entities is not None:
             oprot.writeFieldBegin('entities', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.entities))
-            for kiter183, viter184 in self.entities.items():
-                oprot.writeString(kiter183.encode('utf-8') if sys.version_info[0] == 2 else kiter183)
-                oprot.writeBinary(viter184)
+            for kiter190, viter191 in self.entities.items():
+                oprot.writeString(kiter190.encode('utf-8') if sys.version_info[0] == 2 else kiter190)
+                oprot.writeBinary(viter191)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6284,6 +6387,7 @@
     (9, TType.I64, 'result_bytes', None, None, ),  # 9
     (10, TType.STRING, 'call_id', 'UTF8', None, ),  # 10
     (11, TType.DOUBLE, 'seconds_to_start', None, None, ),  # 11
+    (12, TType.STRING, 'data_centre', 'UTF8', None, ),  # 12
 )
 all_structs.append(StageReply)
 StageReply.thrift_spec = (
@@ -6296,6 +6400,12 @@
     None,  # 0
     (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
 )
+all_structs.append(StageFreed)
+StageFreed.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'handles', (TType.STRING, 'UTF8', False), None, ),  # 2
+)
 all_structs.append(PingRequest)
 PingRequest.thrift_spec = (
     None,  # 0
--- a/traystall/rpc/messages.py
+++ b/traystall/rpc/messages.py
@@ -40,6 +40,7 @@
     Method.REGISTRY: ttypes.RegistryRequest,
     Method.STAGE: ttypes.StageRequest,
     Method.STAGE_CANCEL: ttypes.StageCancel,
+    Method.STAGE_FREED: ttypes.StageFreed,
     Method.PING: ttypes.PingRequest,
     Method.JOIN: ttypes.JoinRequest,
     Method.READ: ttypes.ReadRequest,
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -31,6 +31,7 @@
   PING = 26
   JOIN = 27
   READ = 28
+  STAGE_FREED = 29
 }
 
 // One framed exchange. call_id 0 means that no reply is expected.
@@ -173,9 +174,13 @@
   1: string pool, 2: string request_id, 3: i32 stage, 4: list<i32> pieces
   5: string key, 6: list<string> inputs, 7: double seconds_left, 8: i32 priority
   9: i64 result_bytes, 10: string call_id, 11: double seconds_to_start
+  // Where the results will be read.
+  12: string data_centre
 }
 struct StageReply { 1: list<string> handles, 2: list<string> reasons }
 struct StageCancel { 1: string call_id }
+// Results that were given up, told to the gateway that counts the room of their makers.
+struct StageFreed { 1: string pool, 2: list<string> handles }
 struct PingRequest { 1: string sender }
 struct PingReply { 1: string identity }
 
