Let one gateway place the prompts of a pool

Cause: nine gateways placed prompts by hash without knowing what the others had sent; two prompts of 17,000 tokens at one engine made the second late (time at the engine 0.71 s at the 90th percentile of summaries). Change: EnginePlacer knows what each engine has to read and which parts it keeps; asked over the link within 60 ms, else placed here. Results that are given up are told after the maker has dropped them; makers that refuse for room get less.

--- a/tests/support/emulator/gateway.py
+++ b/tests/support/emulator/gateway.py
@@ -12,6 +12,7 @@
 from traystall.passthrough.dialect import HeaderNames, PlainStageDialect
 from traystall.passthrough.front import PassFront
 from traystall.passthrough.gatherer import Gatherer
+from traystall.passthrough.placing import Placing
 from traystall.registry.models import TargetReport
 from traystall.routes.models import (
     BatchProfile,
@@ -97,6 +98,7 @@
         self.context.registry = _Registry()
         links = LinkPool(LinkIdentity("test", "gateway", "gateway-1"))
         self.context.gatherer = Gatherer(self.context, links)
+        self.context.placing = Placing(self.context, links)
         self.front = PassFront(self.context)
         for pool, runner in runners:
             self.add(pool, runner)
--- a/traystall/passthrough/board.py
+++ b/traystall/passthrough/board.py
@@ -26,12 +26,13 @@
     report: TargetReport
     connections: ConnectionPool
     running: int = 0
-    running_tokens: int = 0
     mean_seconds: float = 0.0
     failures: int = 0
     avoid_until: float = float("-inf")
     avoided: int = 0
     is_misplaced: bool = False
+    # How long it takes beside the others of its pool.
+    ratio: float = 1.0
 
     @property
     def identity(self) -> str:
--- a/traystall/passthrough/choice.py
+++ b/traystall/passthrough/choice.py
@@ -2,31 +2,27 @@
 
 import msgspec
 
-from traystall.passthrough.board import TargetView, rendezvous_order
+from traystall.passthrough.board import TargetView
+from traystall.passthrough.placement import READ_TOKENS_PER_SECOND, PromptPart
 
 # What a request already running counts beside the new one, so that empty targets are compared too.
 _OWN_WEIGHT = 0.25
 # A target in another data centre counts as this much more loaded.
 _DISTANCE = 1.3
-# Engines read about so many prompt tokens a second, and a running request holds a new one
-# up by about so many seconds.
-PREFILL_TOKENS_PER_SECOND = 60_000.0
-_RUNNING_SECONDS = 0.003
 # From the end of the prompt to the first event.
 _FIRST_EVENT_SECONDS = 0.05
 
 
 class Prompt(msgspec.Struct, frozen=True):
-    """Describe a prompt: sizes in tokens, and the key of what it shares with others."""
+    """Describe a prompt: its parts in order, and its size in tokens."""
 
+    parts: tuple[PromptPart, ...] = ()
     tokens: int = 0
-    shared_tokens: int = 0
     output_tokens: int = 0
-    shared_key: str = ""
 
     def seconds(self) -> float:
-        """Return about how long an engine takes to the first token, nothing being kept."""
-        return self.tokens / PREFILL_TOKENS_PER_SECOND + _FIRST_EVENT_SECONDS
+        """Return about how long an engine takes to the first event, nothing being kept."""
+        return self.tokens / READ_TOKENS_PER_SECOND + _FIRST_EVENT_SECONDS
 
 
 def parse_prompt(parts: str | None, counts: str | None) -> Prompt:
@@ -36,15 +32,10 @@
     is the tokens of the prompt and the most that may come out.
     """
     named = [word.strip().partition(":") for word in (parts or "").split(",") if word.strip()]
-    sizes = [int(size) if size.isdigit() else 0 for _, _, size in named]
+    sized = tuple(PromptPart(name, int(size) if size.isdigit() else 0) for name, _, size in named)
     numbers = [int(word) if word.strip().isdigit() else 0 for word in (counts or "").split(",")]
-    tokens = numbers[0] if numbers and numbers[0] else sum(sizes)
-    return Prompt(
-        tokens=tokens,
-        shared_tokens=sum(sizes[:-1]),
-        output_tokens=numbers[1] if len(numbers) > 1 else 0,
-        shared_key=named[-2][0] if len(named) > 1 else "",
-    )
+    tokens = numbers[0] if numbers and numbers[0] else sum(part.tokens for part in sized)
+    return Prompt(sized, tokens, numbers[1] if len(numbers) > 1 else 0)
 
 
 def choose_target(
@@ -57,29 +48,6 @@
     return min(found, key=lambda view: (_load(view, data_centre, mean), random.random()))
 
 
-def choose_engine(
-    candidates: list[TargetView], excluded: set[str], prompt: Prompt, random
-) -> TargetView | None:
-    """Return the engine on which the first token is likely to come soonest, or None.
-
-    The first engine in the order of the prompt's shared part is taken to hold
-    that part already; anywhere else it has to be read anew.
-    """
-    found = _untried(candidates, excluded)
-    if not found:
-        return None
-    names = [view.report.address for view in found]
-    holder = rendezvous_order(prompt.shared_key, names)[0] if prompt.shared_key else ""
-
-    def seconds(view):
-        tokens = view.running_tokens
-        if view.report.address != holder:
-            tokens += prompt.shared_tokens
-        return tokens / PREFILL_TOKENS_PER_SECOND + view.running * _RUNNING_SECONDS
-
-    return min(found, key=lambda view: (seconds(view), random.random()))
-
-
 def _untried(candidates, excluded):
     return [
         view for view in candidates if view.identity not in excluded and view.connections.has_room()
--- a/traystall/passthrough/context.py
+++ b/traystall/passthrough/context.py
@@ -7,10 +7,13 @@
 from traystall.passthrough.board import TargetBoard
 from traystall.passthrough.budget import BudgetRule, RepeatBudget
 from traystall.passthrough.dialect import HeaderNames, StageDialect
+from traystall.passthrough.owners import Owners, gathering_key
 from traystall.registry.follower import RegistryFollower
 from traystall.routes.matching import RouteIndex
 
 _MIN_CONNECTIONS = 4
+# As how many gateways share the slack for pieces: the one that gathers, and its stand-ins.
+_GATHERING_GATEWAYS = 1
 # Weight of the newest duration of a stage.
 _LEARNING = 0.15
 
@@ -34,7 +37,9 @@
         self.board = TargetBoard(self.random, self.max_connections)
         self.follower: ConfigurationFollower | None = None
         self.registry: RegistryFollower | None = None
+        self.owners = Owners(self)
         self.gatherer = None
+        self.placing = None
         self._budget_rule = budget_rule
         self._budgets: dict[str, RepeatBudget] = {}
         self._stage_seconds: dict[str, float] = {}
@@ -65,6 +70,12 @@
         """Take repeats from the budget of a pool; return whether it allowed them."""
         return self.budget(pool).take(clock.monotonic(), self.gateways(), count)
 
+    def may_repeat_gathered(self, pool: str) -> bool:
+        """The same for pieces, which one gateway sends for all: it has most of the slack."""
+        gathers = self.owners.owner(gathering_key(pool)) is None
+        gateways = _GATHERING_GATEWAYS if gathers else self.gateways()
+        return self.budget(pool).take(clock.monotonic(), gateways)
+
     def learn_stage(self, pool: str, seconds: float) -> None:
         """Learn from a stage that was made how long one takes, its waiting included."""
         known = self.stage_seconds(pool)
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -17,6 +17,7 @@
 from traystall.passthrough.dialect import HeaderNames, StageDialect
 from traystall.passthrough.front import PassFront
 from traystall.passthrough.gatherer import Gatherer
+from traystall.passthrough.placing import Placing
 from traystall.registry.follower import RegistryFollower
 from traystall.routes.tables import RoutingTables, Translator
 from traystall.rpc.client import LinkIdentity, LinkPool
@@ -65,6 +66,7 @@
         )
         self._follow()
         self.gateway_context.gatherer = Gatherer(self.gateway_context, self._links)
+        self.gateway_context.placing = Placing(self.gateway_context, self._links)
         self.gateway_context.board.on_change.append(self.gateway_context.gatherer.pump)
         self._server = RpcServer(
             settings.rpc_listen, settings.cluster, settings.secret, self._answer_peer
@@ -94,6 +96,7 @@
         """Close every connection."""
         self._background.stop()
         self.gateway_context.gatherer.close()
+        self.gateway_context.placing.close()
         await self._runner.cleanup()
         if self._health is not None:
             await self._health.cleanup()
@@ -156,6 +159,11 @@
         if isinstance(request, ttypes.StageFreed):
             gatherer.freed_here(request.pool, request.handles)
             return None
+        if isinstance(request, ttypes.PlaceRequest):
+            return self.gateway_context.placing.place_here(request)
+        if isinstance(request, ttypes.PlaceNote):
+            self.gateway_context.placing.note_here(request)
+            return None
         if isinstance(request, ttypes.PingRequest):
             return await gatherer.ping(request)
         if isinstance(request, ttypes.WatchRequest):
--- a/traystall/passthrough/gatherer.py
+++ b/traystall/passthrough/gatherer.py
@@ -8,13 +8,12 @@
 import asyncio
 import logging
 
-from traystall.core import clock
 from traystall.core.exceptions import RpcError
 from traystall.core.logs import decision
 from traystall.passthrough.attempt import Attempt
-from traystall.passthrough.board import rendezvous_order
 from traystall.passthrough.context import PassContext
 from traystall.passthrough.exceptions import ExchangeError
+from traystall.passthrough.owners import gathering_key
 from traystall.passthrough.piece_queue import PieceQueue
 from traystall.rpc.client import LinkPool
 from traystall.rpc.gen.wire.ttypes import (
@@ -29,7 +28,6 @@
 # While a gatherer holds pieces it is asked this often, in seconds, whether it is there.
 _PING_SECONDS = 0.15
 _PING_TIMEOUT = 0.15
-_SUSPECT_SECONDS = 2.0
 # Results to be given up are collected this long, in seconds.
 _FREE_SECONDS = 0.01
 _FREE_TIMEOUT = 1.0
@@ -44,8 +42,7 @@
         self._context = context
         self._links = links
         self._queues: dict[str, PieceQueue] = {}
-        self._suspects: dict[str, float] = {}
-        self._to_free: dict[str, list[str]] = {}
+        self._to_free: dict[tuple[str, str], list[str]] = {}
         self._tasks: set[asyncio.Task] = set()
 
     async def run(self, request: StageRequest) -> StageReply:
@@ -56,7 +53,7 @@
         try:
             return await self._run_at(owner, request)
         except RpcError as error:
-            self._suspects[owner.identity] = clock.monotonic() + _SUSPECT_SECONDS
+            self._context.owners.suspect(owner.identity)
             decision(
                 "gather-here",
                 request=request.request_id,
@@ -86,18 +83,12 @@
             queue.freed(handles)
 
     def free(self, pool: str, handles: list[str]) -> None:
-        """Give results up at their makers, soon and many at a time; tell who counts their room."""
-        owner = self._owner(pool)
-        if owner is None:
-            self.freed_here(pool, handles)
-        else:
-            link = self._links.link(owner.rpc_address)
-            self._spawn(self._send(link, StageFreed(pool=pool, handles=list(handles))))
+        """Give results up at their makers, soon and many at a time."""
         if not self._to_free:
             self._spawn(self._free_soon())
         for handle in handles:
             maker = self._context.stage_dialect.maker(handle)
-            self._to_free.setdefault(maker, []).append(handle)
+            self._to_free.setdefault((pool, maker), []).append(handle)
 
     def pump(self) -> None:
         """Call targets that have come free or are new."""
@@ -112,16 +103,7 @@
     # ---- another gateway gathers ----
 
     def _owner(self, pool):
-        """Return the gateway that gathers for a pool, or None if it is this one."""
-        now = clock.monotonic()
-        rows = {
-            row.identity: row
-            for row in self._context.follower.directory
-            if row.state == "serving" and self._suspects.get(row.identity, 0.0) <= now
-        }
-        names = [*rows.keys() - {self._context.identity}, self._context.identity]
-        first = rendezvous_order(pool, names)[0]
-        return None if first == self._context.identity else rows[first]
+        return self._context.owners.owner(gathering_key(pool))
 
     async def _run_at(self, owner, request):
         link = self._links.link(owner.rpc_address)
@@ -165,8 +147,18 @@
     async def _free_soon(self):
         await asyncio.sleep(_FREE_SECONDS)
         batches, self._to_free = self._to_free, {}
-        for maker, handles in batches.items():
-            self._spawn(self._free_at(maker, handles))
+        for (pool, maker), handles in batches.items():
+            self._spawn(self._free_and_tell(pool, maker, handles))
+
+    async def _free_and_tell(self, pool, maker, handles):
+        """Give results up, then tell who counts the room: before that it is still taken."""
+        await self._free_at(maker, handles)
+        owner = self._owner(pool)
+        if owner is None:
+            self.freed_here(pool, handles)
+        else:
+            link = self._links.link(owner.rpc_address)
+            await self._send(link, StageFreed(pool=pool, handles=handles))
 
     async def _free_at(self, maker, handles):
         view = self._context.board.at_address(maker)
--- a/traystall/passthrough/piece_queue.py
+++ b/traystall/passthrough/piece_queue.py
@@ -78,7 +78,8 @@
             return
         now = clock.monotonic()
         for view in self._free_targets(profile, now):
-            room = profile.room_bytes - self._book(view).taken(now)
+            book = self._book(view)
+            room = profile.room_bytes * book.share - book.taken(now)
             batch = take_batch(self._waiting, profile, room, now, view.report.data_centre)
             if not batch:
                 continue
@@ -177,6 +178,7 @@
     def _settle(self, view, batch, results, profile):
         now = clock.monotonic()
         orphans = []
+        refused = False
         for job, result in zip(batch, results, strict=True):
             if result.handle:
                 until = now + profile.result_lifetime
@@ -189,7 +191,13 @@
             elif not self._try_again(job, result.reason, now):
                 self._close_piece(call, job, "", result.reason)
             if result.reason == "room":
+                refused = True
                 view.avoid_until = max(view.avoid_until, now + _PAUSE_SECONDS)
+        book = self._book(view)
+        if refused:
+            book.on_refused()
+        else:
+            book.on_taken()
         if orphans:
             self._context.gatherer.free(self._pool, orphans)
 
@@ -197,10 +205,13 @@
         if reason == "unreachable":
             self._waiting.append(job)
             return True
+        if reason == "room":
+            # It costs the maker nothing; the deadline and the budget bound it.
+            job.tries -= 1
         job.tries += 1
         if reason not in _PASSING_REASONS or job.tries >= _MAX_TRIES or now >= job.deadline:
             return False
-        if not self._context.may_repeat(self._pool):
+        if not self._context.may_repeat_gathered(self._pool):
             return False
         self._waiting.append(job)
         return True
--- /dev/null
+++ b/traystall/passthrough/placing.py
@@ -0,0 +1,142 @@
+"""Ask the gateway that places a pool's prompts, or place here if it does not answer."""
+
+import asyncio
+import logging
+
+from traystall.core import clock
+from traystall.core.exceptions import RpcError
+from traystall.core.logs import decision
+from traystall.passthrough.board import TargetView
+from traystall.passthrough.owners import placing_key
+from traystall.passthrough.placement import EngineChoice, EnginePlacer, Placement, PromptPart
+from traystall.passthrough.request import PassRequest
+from traystall.rpc.client import LinkPool
+from traystall.rpc.gen.wire.ttypes import PlaceNote, PlaceReply, PlaceRequest
+
+# An answer that takes longer than this, in seconds, costs more than a worse choice.
+_ASK_TIMEOUT = 0.06
+_STARTED = "started"
+_ENDED = "ended"
+# Choices for the same request far apart in time are made anew; so are notes out of order.
+_RETAIN_SECONDS = 5.0
+
+logger = logging.getLogger(__name__)
+
+
+class Placing:
+    """Place prompts on engines, for this gateway and for those that ask it."""
+
+    def __init__(self, context, links: LinkPool):
+        self._context = context
+        self._links = links
+        self._placers: dict[str, EnginePlacer] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._retain_due = 0.0
+
+    async def choose(self, passed: PassRequest, book: bool) -> TargetView | None:
+        """Return the engine for a request; `book` counts the prompt as being read there."""
+        request = PlaceRequest(
+            pool=passed.pool,
+            request_id=passed.request_id,
+            parts=[part.name for part in passed.prompt.parts],
+            sizes=[part.tokens for part in passed.prompt.parts],
+            tokens=passed.prompt.tokens,
+            data_centre=passed.home,
+            input_bytes=passed.input_bytes,
+            excluded=sorted(passed.tried),
+            book=book,
+        )
+        owner = self._context.owners.owner(placing_key(passed.pool))
+        if owner is not None:
+            view = await self._ask(owner, request)
+            if view is not None:
+                return view
+        reply = self.place_here(request)
+        return self._context.board.view(reply.identity) if reply.identity else None
+
+    def place_here(self, request: PlaceRequest) -> PlaceReply:
+        """Place a prompt by what this gateway knows."""
+        now = clock.monotonic()
+        placer = self._placer(request.pool, now)
+        placement = Placement(
+            request.request_id,
+            tuple(
+                PromptPart(name, size)
+                for name, size in zip(request.parts or (), request.sizes or (), strict=False)
+            ),
+            request.tokens or 0,
+            request.data_centre or "",
+            request.input_bytes or 0,
+        )
+        choices = self._choices(request.pool, set(request.excluded or ()))
+        if request.book:
+            return PlaceReply(identity=placer.place(placement, choices, now))
+        return PlaceReply(identity=placer.likely(placement, choices, now))
+
+    def started(self, passed: PassRequest) -> None:
+        """Tell that a request's first event came."""
+        self._tell(passed, _STARTED)
+
+    def ended(self, passed: PassRequest) -> None:
+        """Tell that a request's attempt is over."""
+        self._tell(passed, _ENDED)
+
+    def note_here(self, note: PlaceNote) -> None:
+        """Take in what became of a placement."""
+        now = clock.monotonic()
+        placer = self._placer(note.pool, now)
+        if note.what == _STARTED:
+            placer.started(note.request_id, now)
+        else:
+            placer.ended(note.request_id, now)
+
+    def close(self) -> None:
+        """End what is under way."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _ask(self, owner, request) -> TargetView | None:
+        try:
+            reply = await self._links.link(owner.rpc_address).call(request, _ASK_TIMEOUT)
+        except RpcError as error:
+            self._context.owners.suspect(owner.identity)
+            decision("place-here", request=request.request_id, why=str(error))
+            return None
+        view = self._context.board.view(reply.identity or "")
+        usable = view is not None and view.connections.has_room() and not view.is_misplaced
+        if not usable or clock.monotonic() < view.avoid_until:
+            return None
+        return view
+
+    def _tell(self, passed, what):
+        note = PlaceNote(pool=passed.pool, request_id=passed.request_id, what=what)
+        self.note_here(note)
+        owner = self._context.owners.owner(placing_key(passed.pool))
+        if owner is not None:
+            task = asyncio.create_task(self._send(self._links.link(owner.rpc_address), note))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _send(self, link, note):
+        try:
+            await link.send(note)
+        except RpcError as error:
+            logger.debug("placer not told", extra={"why": str(error)})
+
+    def _placer(self, pool, now) -> EnginePlacer:
+        placer = self._placers.setdefault(pool, EnginePlacer())
+        if now >= self._retain_due:
+            self._retain_due = now + _RETAIN_SECONDS
+            for name, held in self._placers.items():
+                views = self._context.board.pool(name)
+                held.retain({view.identity for view in views}, now)
+        return placer
+
+    def _choices(self, pool, excluded) -> list[EngineChoice]:
+        found = self._context.index.pools.get(pool)
+        memory = found.engine.memory_tokens if found and found.engine else 0
+        return [
+            EngineChoice(view.identity, view.report.data_centre, memory, view.ratio)
+            for view in self._context.usable(pool)
+            if view.identity not in excluded and view.connections.has_room()
+        ]
--- a/traystall/passthrough/request.py
+++ b/traystall/passthrough/request.py
@@ -40,6 +40,10 @@
         self.inputs: tuple[str, ...] = ()
         # The data centre where the results of the stages will be read, as far as it is known.
         self.home = ""
+        self.input_bytes = sum(
+            self.piece_counts[index] * route.stages[index].result_bytes
+            for index in route.final_stages()
+        )
         # What became of it.
         self.attempts = 0
         self.tried: set[str] = set()
--- a/traystall/passthrough/runner.py
+++ b/traystall/passthrough/runner.py
@@ -94,7 +94,7 @@
         if not any(passed.piece_counts):
             return
         began = clock.monotonic()
-        likely = self._choose(passed)
+        likely = await self._choose(passed, book=False)
         passed.home = likely.report.data_centre if likely else ""
         try:
             passed.inputs = await chain.run()
@@ -107,7 +107,7 @@
         unreachable = 0
         failure: Failure | None = None
         while True:
-            view = self._choose(passed)
+            view = await self._choose(passed, book=True)
             if view is None:
                 return self._finish_failed(passed, sink, failure)
             outcome = await self._attempt(passed, view, sink, chain)
@@ -129,12 +129,12 @@
             if counted and not self._context.may_repeat(passed.pool):
                 return self._finish_failed(passed, sink, failure)
 
-    def _choose(self, passed) -> TargetView | None:
+    async def _choose(self, passed, book) -> TargetView | None:
         context = self._context
         pool = context.index.pools.get(passed.pool)
-        found = context.usable(passed.pool)
         if pool is not None and pool.engine is not None:
-            return choice.choose_engine(found, passed.tried, passed.prompt, context.random)
+            return await context.placing.choose(passed, book)
+        found = context.usable(passed.pool)
         mean = context.board.mean_seconds(passed.pool)
         return choice.choose_target(found, passed.tried, context.data_centre, mean, context.random)
 
@@ -143,10 +143,9 @@
         passed.target = view.identity
         view.running += 1
         began = clock.monotonic()
-        load = _PromptLoad(view, passed)
         try:
             async with Attempt(view, self._context.names, passed.request_id) as attempt:
-                return await self._exchange(passed, view, attempt, sink, chain, load)
+                return await self._exchange(passed, view, attempt, sink, chain)
         except ConnectFailed as error:
             view.on_unreachable(clock.monotonic(), self._context.random)
             return Failure(FailureKind.UNREACHABLE, error.reason)
@@ -160,8 +159,9 @@
             passed.may_have_run = passed.may_have_run or attempt.was_sent
             raise
         finally:
-            load.end()
             view.running -= 1
+            if passed.prompt.parts:
+                self._context.placing.ended(passed)
             decision(
                 "attempt",
                 request=passed.request_id,
@@ -170,7 +170,7 @@
                 seconds=round(clock.monotonic() - began, 4),
             )
 
-    async def _exchange(self, passed, view, attempt, sink, chain, load):
+    async def _exchange(self, passed, view, attempt, sink, chain):
         fresh = float("inf") if passed.route.may_run_again else _FRESH_SECONDS
         await attempt.open(fresh)
         passed.attempts += 1
@@ -178,7 +178,7 @@
         attempt.send(passed.wire(view, sink.last_id))
         head = await attempt.read_head()
         if passed.route.streamed and _is_success(head, self._context.names):
-            return await self._pass_events(passed, attempt, sink, chain, load, view)
+            return await self._pass_events(passed, attempt, sink, chain, view)
         answer = await attempt.read_whole_after(head)
         failure = self._judge(view, attempt, answer)
         if failure is not None:
@@ -207,14 +207,14 @@
             view.on_failure(now, self._context.random)
         return Failure(FailureKind.FAILED, f"The target answered {head.status}.", answer)
 
-    async def _pass_events(self, passed, attempt, sink, chain, load, view):
+    async def _pass_events(self, passed, attempt, sink, chain, view):
         sink.begin_part(attempt.head)
         async for chunk in attempt.chunks():
             for event in sink.split(chunk):
                 if not sink.is_open:
-                    load.end()
                     chain.free()
-                    view.on_success(clock.monotonic() - passed.started)
+                    self._context.placing.started(passed)
+                    view.on_success(0.0)
                 await sink.write(event)
         if attempt.head.until_close and sink.partial:
             raise NoAnswer("The stream ended inside an event.", sent=True)
@@ -249,20 +249,6 @@
         return sink.response
 
 
-class _PromptLoad:
-    """Count a prompt as being read at an engine until its first event, once."""
-
-    def __init__(self, view: TargetView, passed: PassRequest):
-        self._view = view
-        self._tokens = passed.prompt.tokens
-        view.running_tokens += self._tokens
-
-    def end(self):
-        """Count the prompt as read."""
-        self._view.running_tokens -= self._tokens
-        self._tokens = 0
-
-
 def _is_success(head, names) -> bool:
     """Return whether a head is a target's own success: signed, and not encoded on the way."""
     if not 200 <= head.status < 300:
--- a/traystall/rpc/gen/wire/ttypes.py
+++ b/traystall/rpc/gen/wire/ttypes.py
@@ -45,6 +45,8 @@
     JOIN = 27
     READ = 28
     STAGE_FREED = 29
+    PLACE = 30
+    PLACE_NOTE = 31
 
     _VALUES_TO_NAMES = {
         1: "HELLO",
@@ -75,6 +77,8 @@
         27: "JOIN",
         28: "READ",
         29: "STAGE_FREED",
+        30: "PLACE",
+        31: "PLACE_NOTE",
     }
 
     _NAMES_TO_VALUES = {
@@ -106,6 +110,8 @@
         "JOIN": 27,
         "READ": 28,
         "STAGE_FREED": 29,
+        "PLACE": 30,
+        "PLACE_NOTE": 31,
     }
 
 
@@ -5513,6 +5519,354 @@
         return not (self == other)
 
 
+class PlaceRequest(object):
+    """
+    Attributes:
+     - pool
+     - request_id
+     - parts
+     - sizes
+     - tokens
+     - data_centre
+     - input_bytes
+     - excluded
+     - book
+
+    """
+
+    __slots__ = (
+        'pool',
+        'request_id',
+        'parts',
+        'sizes',
+        'tokens',
+        'data_centre',
+        'input_bytes',
+        'excluded',
+        'book',
+    )
+
+
+    def __init__(self, pool=None, request_id=None, parts=None, sizes=None, tokens=None, data_centre=None, input_bytes=None, excluded=None, book=None,):
+        self.pool = pool
+        self.request_id = request_id
+        self.parts = parts
+        self.sizes = sizes
+        self.tokens = tokens
+        self.data_centre = data_centre
+        self.input_bytes = input_bytes
+        self.excluded = excluded
+        self.book = book
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype179, _size176) = iprot.readListBegin()
+                    for _i180 in range(_size176):
+                        _elem181 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.append(_elem181)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.sizes = []
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = iprot.readI64()
+                        self.sizes.append(_elem187)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.input_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.excluded = []
+                    (_etype191, _size188) = iprot.readListBegin()
+                    for _i192 in range(_size188):
+                        _elem193 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem193)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.book = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PlaceRequest')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 2)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.parts))
+            for iter194 in self.parts:
+                oprot.writeString(iter194.encode('utf-8') if sys.version_info[0] == 2 else iter194)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.sizes is not None:
+            oprot.writeFieldBegin('sizes', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.sizes))
+            for iter195 in self.sizes:
+                oprot.writeI64(iter195)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I64, 5)
+            oprot.writeI64(self.tokens)
+            oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 6)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.input_bytes is not None:
+            oprot.writeFieldBegin('input_bytes', TType.I64, 7)
+            oprot.writeI64(self.input_bytes)
+            oprot.writeFieldEnd()
+        if self.excluded is not None:
+            oprot.writeFieldBegin('excluded', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.excluded))
+            for iter196 in self.excluded:
+                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.book is not None:
+            oprot.writeFieldBegin('book', TType.BOOL, 9)
+            oprot.writeBool(self.book)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PlaceReply(object):
+    """
+    Attributes:
+     - identity
+
+    """
+
+    __slots__ = (
+        'identity',
+    )
+
+
+    def __init__(self, identity=None,):
+        self.identity = identity
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PlaceReply')
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 1)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PlaceNote(object):
+    """
+    Attributes:
+     - pool
+     - request_id
+     - what
+
+    """
+
+    __slots__ = (
+        'pool',
+        'request_id',
+        'what',
+    )
+
+
+    def __init__(self, pool=None, request_id=None, what=None,):
+        self.pool = pool
+        self.request_id = request_id
+        self.what = what
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.what = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PlaceNote')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 2)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.what is not None:
+            oprot.writeFieldBegin('what', TType.STRING, 3)
+            oprot.writeString(self.what.encode('utf-8') if sys.version_info[0] == 2 else self.what)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PingRequest(object):
     """
     Attributes:
@@ -5753,11 +6107,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype179, _size176) = iprot.readListBegin()
-                    for _i180 in range(_size176):
-                        _elem181 = Member()
-                        _elem181.read(iprot)
-                        self.members.append(_elem181)
+                    (_etype200, _size197) = iprot.readListBegin()
+                    for _i201 in range(_size197):
+                        _elem202 = Member()
+                        _elem202.read(iprot)
+                        self.members.append(_elem202)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5778,8 +6132,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter182 in self.members:
-                iter182.write(oprot)
+            for iter203 in self.members:
+                iter203.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5918,11 +6272,11 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.entities = {}
-                    (_ktype184, _vtype185, _size183) = iprot.readMapBegin()
-                    for _i187 in range(_size183):
-                        _key188 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val189 = iprot.readBinary()
-                        self.entities[_key188] = _val189
+                    (_ktype205, _vtype206, _size204) = iprot.readMapBegin()
+                    for _i208 in range(_size204):
+                        _key209 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val210 = iprot.readBinary()
+                        self.entities[_key209] = _val210
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -5947,9 +6301,9 @@
         if self.entities is not None:
             oprot.writeFieldBegin('entities', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.entities))
-            for kiter190, viter191 in self.entities.items():
-                oprot.writeString(kiter190.encode('utf-8') if sys.version_info[0] == 2 else kiter190)
-                oprot.writeBinary(viter191)
+            for kiter211, viter212 in self.entities.items():
+                oprot.writeString(kiter211.encode('utf-8') if sys.version_info[0] == 2 else kiter211)
+                oprot.writeBinary(viter212)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6406,6 +6760,31 @@
     (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'handles', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
+all_structs.append(PlaceRequest)
+PlaceRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'parts', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.LIST, 'sizes', (TType.I64, None, False), None, ),  # 4
+    (5, TType.I64, 'tokens', None, None, ),  # 5
+    (6, TType.STRING, 'data_centre', 'UTF8', None, ),  # 6
+    (7, TType.I64, 'input_bytes', None, None, ),  # 7
+    (8, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.BOOL, 'book', None, None, ),  # 9
+)
+all_structs.append(PlaceReply)
+PlaceReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'identity', 'UTF8', None, ),  # 1
+)
+all_structs.append(PlaceNote)
+PlaceNote.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'what', 'UTF8', None, ),  # 3
+)
 all_structs.append(PingRequest)
 PingRequest.thrift_spec = (
     None,  # 0
--- a/traystall/rpc/messages.py
+++ b/traystall/rpc/messages.py
@@ -42,6 +42,8 @@
     Method.STAGE_CANCEL: ttypes.StageCancel,
     Method.STAGE_FREED: ttypes.StageFreed,
     Method.PING: ttypes.PingRequest,
+    Method.PLACE: ttypes.PlaceRequest,
+    Method.PLACE_NOTE: ttypes.PlaceNote,
     Method.JOIN: ttypes.JoinRequest,
     Method.READ: ttypes.ReadRequest,
 }
@@ -63,6 +65,7 @@
     Method.REGISTRY: ttypes.RegistryReply,
     Method.STAGE: ttypes.StageReply,
     Method.PING: ttypes.PingReply,
+    Method.PLACE: ttypes.PlaceReply,
     Method.JOIN: ttypes.JoinReply,
     Method.READ: ttypes.ReadReply,
 }
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -32,6 +32,8 @@
   JOIN = 27
   READ = 28
   STAGE_FREED = 29
+  PLACE = 30
+  PLACE_NOTE = 31
 }
 
 // One framed exchange. call_id 0 means that no reply is expected.
@@ -181,6 +183,13 @@
 struct StageCancel { 1: string call_id }
 // Results that were given up, told to the gateway that counts the room of their makers.
 struct StageFreed { 1: string pool, 2: list<string> handles }
+// An engine for a prompt, chosen by one gateway for all; what became of it.
+struct PlaceRequest {
+  1: string pool, 2: string request_id, 3: list<string> parts, 4: list<i64> sizes, 5: i64 tokens
+  6: string data_centre, 7: i64 input_bytes, 8: list<string> excluded, 9: bool book
+}
+struct PlaceReply { 1: string identity }
+struct PlaceNote { 1: string pool, 2: string request_id, 3: string what }
 struct PingRequest { 1: string sender }
 struct PingReply { 1: string identity }
 
