--- /dev/null
+++ b/tests/support/control_group.py
@@ -0,0 +1,124 @@
+"""Control daemons in this process on free ports, which can be killed, wiped and replaced."""
+
+import asyncio
+import shutil
+import socket
+
+from traystall.catalog.deltas import entities_digest
+from traystall.conf.settings import load
+from traystall.control.daemon import ControlDaemon
+from traystall.control.settings import SETTINGS, check_control
+from traystall.core.exceptions import RpcError
+from traystall.rpc.gen.wire.ttypes import ApplyRequest, ReadRequest
+
+_QUICK = {
+    "election-min": "0.4",
+    "election-max": "0.8",
+    "heartbeat": "0.1",
+    "number-rule": "highest",
+    "self-repair": "true",
+    "log-level": "warning",
+}
+
+
+def free_address():
+    """Return a loopback address that was free a moment ago."""
+    with socket.socket() as held:
+        held.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{held.getsockname()[1]}"
+
+
+class ControlGroup:
+    """Hold daemons by name; `founders` form the group, others join it."""
+
+    def __init__(self, root, founders=("a", "b", "c")):
+        self._root = root
+        self.addresses = {name: free_address() for name in founders}
+        self._founders = tuple(founders)
+        self.daemons = {}
+
+    async def start(self, name, founding=False):
+        """Start a daemon on its folder, which is empty unless it ran before."""
+        address = self.addresses.setdefault(name, free_address())
+        values = {
+            "cluster": "test",
+            "instance": name,
+            "data-centre": "here",
+            "rpc-listen": address,
+            "http-listen": free_address(),
+            "data-folder": self._root / name,
+            "join": ",".join(self._known(name)),
+            **_QUICK,
+        }
+        if founding:
+            pairs = [f"{founder}={self.addresses[founder]}" for founder in self._founders]
+            values["initial-members"] = ",".join(pairs)
+        argv = [f"--{key}={value}" for key, value in values.items()]
+        settings = load("traystall-control", SETTINGS, [check_control], argv, {})
+        daemon = ControlDaemon(settings)
+        await daemon.start()
+        self.daemons[name] = daemon
+        return daemon
+
+    def _known(self, name):
+        """Return whom a daemon may ask for admission: the founders and all that run now."""
+        names = {*self._founders, *self.daemons} - {name}
+        return sorted(self.addresses[known] for known in names)
+
+    async def stop(self, name, wipe=False):
+        """Stop a daemon without a word to the others; with `wipe` its disk is lost too."""
+        await self.daemons.pop(name).stop()
+        if wipe:
+            shutil.rmtree(self._root / name)
+
+    async def stop_all(self):
+        for name in list(self.daemons):
+            await self.stop(name)
+
+    def leader(self):
+        """Return the daemon that leads with a lease, or None."""
+        from traystall.core import clock
+
+        now = clock.monotonic()
+        leading = [d for d in self.daemons.values() if d.node.replica.holds_lease(now)]
+        return leading[0] if leading else None
+
+    def voters(self):
+        """Return the names of the voters as the leader knows them."""
+        leader = self.leader()
+        if leader is None:
+            return set()
+        return {identity.split("/")[0] for identity in leader.node.replica.voters}
+
+    def live_voters(self):
+        """Return the names of daemons that run and vote under their present identity."""
+        leader = self.leader()
+        if leader is None:
+            return set()
+        return {
+            name
+            for name, daemon in self.daemons.items()
+            if daemon.node.replica.identity in leader.node.replica.voters
+        }
+
+    async def until(self, condition, seconds=20):
+        """Return once `condition` holds; fail after `seconds`."""
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def apply(self, name, number, content):
+        """Send a configuration to one daemon; return its reply."""
+        entities = {"k": content}
+        request = ApplyRequest(
+            number=number, digest=entities_digest(entities), entities=entities, operator="test"
+        )
+        return await self.daemons[name].leader.call(request, 5.0)
+
+    async def read(self, name):
+        """Return number and content as one daemon tells them, or None if it can't be sure."""
+        try:
+            reply = await self.daemons[name].leader.call(ReadRequest(sender="test"), 1.0)
+        except RpcError:
+            return None
+        return reply.number, (reply.entities or {}).get("k")
--- a/traystall/rpc/server.py
+++ b/traystall/rpc/server.py
@@ -45,6 +45,8 @@
                 await self._serve_frames(reader, writer)
         except (OSError, asyncio.IncompleteReadError, TimeoutError):
             pass
+        except asyncio.CancelledError:
+            pass  # By `stop`; passed on, it would be logged as an error of the stream's own task.
         except RpcError as error:
             logger.warning("link closed", extra={"why": str(error)})
         finally:
--- a/traystall/storage/folder.py
+++ b/traystall/storage/folder.py
@@ -105,7 +105,8 @@
         self._entries: list[StoredEntry] = []
         self._lock = None
         self._owed: list[BatchStep | SaveSnapshot] = []
-        self._damaged: Path | None = None
+        # The segment whose write failed, and up to where it is known to be synced.
+        self._damaged: tuple[Path, int] | None = None
         self.identity: Identity | None = None
 
     def open(self, cluster: str, instance: str) -> Recovered:
@@ -146,7 +147,8 @@
             while self._owed:
                 self._pay_next()
         except OSError as error:
-            self._damaged = self._current_path()
+            if self._damaged is None:
+                self._damaged = (self._current_path(), self._segment_bytes)
             raise DiskFailed(f"A write to {self._path} failed: {error}.") from error
 
     def _pay_next(self):
@@ -166,8 +168,9 @@
         """Cut the segment whose write failed to what was synced, and go on in a new one."""
         if self._damaged is None:
             return
-        if self._damaged.exists():
-            self._cut(self._damaged, self._segment_bytes)
+        path, synced_bytes = self._damaged
+        if path.exists():
+            self._cut(path, synced_bytes)
         self._roll()
         self._damaged = None
 
