Tell gateways of a new revision by every watch of a registry

Ruled out: the control group itself; the revision was applied at 6.51 s. Change: the watch of the registry, open at every control daemon, carries the newest number; a higher one is fetched from whoever told of it. Conclusion: kept; tests/registry/test_watch.py.

--- /dev/null
+++ b/tests/registry/test_watch.py
@@ -0,0 +1,99 @@
+"""Watches of a registry: told at once of targets and of a new revision, by any daemon."""
+
+import asyncio
+
+import pytest
+
+from traystall.registry.follower import RegistryFollower
+from traystall.registry.models import RegisteredState, TargetReport
+from traystall.registry.service import WATCH_HOLD, RegistryService
+from traystall.rpc.client import LinkIdentity, LinkPool
+from traystall.rpc.gen.wire.ttypes import RegistryRequest
+from traystall.rpc.server import RpcServer
+
+
+class Numbered:
+    number = 3
+
+    def __call__(self):
+        return self.number
+
+
+def watch_from(service, **fields):
+    return service.watch(RegistryRequest(sender="w", **fields))
+
+
+def test_new_revision_wakes_a_watch_that_waits():
+    async def play():
+        number = Numbered()
+        service = RegistryService(lambda: [], number)
+        first = await watch_from(service, epoch="", version=0, number=3)
+        waiting = asyncio.create_task(
+            watch_from(service, epoch=first.epoch, version=first.version, number=3)
+        )
+        await asyncio.sleep(0)
+        number.number = 4
+        service.on_applied()
+        async with asyncio.timeout(WATCH_HOLD / 2):
+            assert (await waiting).number == 4
+
+    asyncio.run(play())
+
+
+def test_watcher_of_another_life_gets_everything():
+    async def play():
+        service = RegistryService(lambda: [])
+        service.report(TargetReport("t", "p", "x:1"))
+        reply = await watch_from(service, epoch="of another life", version=99, number=0)
+        assert [record.identity for record in reply.targets] == ["t"]
+        assert set(reply.ages) == {"t"}
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("silent", [0, 1])
+def test_follower_learns_from_any_daemon_while_another_is_silent(silent):
+    """One of two daemons accepts links and never answers, as one that was cut off does."""
+
+    async def play():
+        number = Numbered()
+        service = RegistryService(lambda: [], number)
+        service.report(TargetReport("t", "p", "x:1"))
+
+        async def answer(request):
+            return await service.watch(request)
+
+        async def never(request):
+            await asyncio.sleep(3600)
+
+        handlers = [answer, answer]
+        handlers[silent] = never
+        servers, addresses = [], []
+        for handler in handlers:
+            server = RpcServer("127.0.0.1:0", "c", "", handler)
+            await server.start()
+            servers.append(server)
+            port = server._server.sockets[0].getsockname()[1]
+            addresses.append(f"127.0.0.1:{port}")
+        links = LinkPool(LinkIdentity("c", "gateway", "g"))
+        follower = RegistryFollower(links, "g", lambda: addresses)
+        seen, told = [], []
+        follower.number = lambda: 3
+        follower.merge = lambda report, seen_at: seen.append(report.state)
+        follower.on_number = lambda number, address: told.append((number, address))
+        task = asyncio.create_task(follower.follow_forever())
+        async with asyncio.timeout(5):
+            while not seen:
+                await asyncio.sleep(0.01)
+            service.leave("t")
+            number.number = 4
+            service.on_applied()
+            while RegisteredState.GONE not in seen or not told:
+                await asyncio.sleep(0.01)
+        task.cancel()
+        for server in servers:
+            await server.stop()
+        await links.close()
+        assert told[0] == (4, addresses[1 - silent])
+
+    asyncio.run(play())
--- a/traystall/control/daemon.py
+++ b/traystall/control/daemon.py
@@ -37,6 +37,7 @@
 
 GROUP = "main"
 ROLE = "control"
+_ANY_NUMBER = 2**62
 
 logger = logging.getLogger(__name__)
 
@@ -135,11 +136,15 @@
 
     def _start_registry(self, identity):
         self.registry = RegistryService(
-            lambda: [to_wire_member(member) for member in self.node.replica.members]
+            lambda: [to_wire_member(member) for member in self.node.replica.members],
+            lambda: self.node.state.catalog.number,
         )
+        self.node.on_applied.append(self.registry.on_applied)
         self.service.add_handler(RegistryRequest, self.registry.watch)
         follower = RegistryFollower(self._links, identity, self.control_addresses)
         follower.merge = self._merge_report
+        # Revisions come by the log; only what targets tell is of interest here.
+        follower.number = lambda: _ANY_NUMBER
         follower.saw = self.registry.registry.saw
         self._registry_follower = follower
 
--- a/traystall/gateway/configuration.py
+++ b/traystall/gateway/configuration.py
@@ -14,7 +14,7 @@
 from traystall.tables.configuration import ConfigurationTables
 from traystall.tables.gateways import GatewayRow
 
-_WATCH_TIMEOUT = 2.5
+_WATCH_TIMEOUT = 1.6
 _FIRST_TIMEOUT = 1.5
 _RETRY_SECONDS = 0.2
 
@@ -95,6 +95,12 @@
                 self._directory_version = 0
                 await asyncio.sleep(_RETRY_SECONDS)
 
+    async def take_from(self, address: str) -> None:
+        """Take the revision of one control daemon that is known to have a newer one."""
+        reply = await self._ask(address, _FIRST_TIMEOUT)
+        if reply is not None:
+            self._take(reply)
+
     def answer_watch(self, request: WatchRequest) -> WatchReply:
         """Return this gateway's revision to a neighbour that starts."""
         return WatchReply(
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -122,9 +122,22 @@
         registry.merge = self.gateway_context.board.merge
         registry.saw = self.gateway_context.board.saw
         registry.on_members = self._take_members
+        registry.number = lambda: follower.held.number
+        registry.on_number = self._fetch_configuration
+        self._fetches: set[asyncio.Task] = set()
         self.gateway_context.follower = follower
         self.gateway_context.registry = registry
 
+    def _fetch_configuration(self, number, address):
+        """Take a new revision from whoever told of it first.
+
+        The watch of one control daemon alone would miss it while that daemon is
+        lost or cut off.
+        """
+        task = asyncio.create_task(self.gateway_context.follower.take_from(address))
+        self._fetches.add(task)
+        task.add_done_callback(self._fetches.discard)
+
     def _take_members(self, members):
         """Ask the members of the group from now on; the settings help when none is known."""
         addresses = [member.address for member in members if member.address]
--- a/traystall/registry/follower.py
+++ b/traystall/registry/follower.py
@@ -19,6 +19,7 @@
 _WATCH_TIMEOUT = 2.0
 _RETRY_SECONDS = 0.25
 _REVIEW_SECONDS = 0.5
+_TAKE_SECONDS = 0.1
 
 logger = logging.getLogger(__name__)
 
@@ -28,13 +29,16 @@
 
     `addresses` returns whom to watch now; `merge(report, seen_at)` and
     `saw(identity, seen_at)` take in what is told; `on_members(members)` gets the
-    control daemons that a registry knows of.
+    control daemons that a registry knows of. `number` returns the revision held
+    here, `on_number(number, address)` gets a higher one and who has it.
     """
 
     def __init__(self, links: LinkPool, sender: str, addresses: Callable[[], list[str]]):
         self.merge: Callable = lambda report, seen_at: None
         self.saw: Callable = lambda identity, seen_at: None
         self.on_members: Callable = lambda members: None
+        self.number: Callable[[], int] = lambda: 0
+        self.on_number: Callable = lambda number, address: None
         self.heard_at: dict[str, float] = {}
         self._links = links
         self._sender = sender
@@ -65,6 +69,7 @@
     async def _watch_forever(self, address):
         request = RegistryRequest(sender=self._sender, epoch="", version=0)
         while True:
+            request.number = self.number()
             try:
                 reply = await self._links.link(address).call(request, _WATCH_TIMEOUT)
             except RpcError as error:
@@ -73,6 +78,10 @@
                 continue
             self.heard_at[address] = clock.monotonic()
             self._take(reply)
+            if (reply.number or 0) > self.number():
+                self.on_number(reply.number, address)
+                # Until it is taken, the watch would return at once.
+                await asyncio.sleep(_TAKE_SECONDS)
             request.epoch = reply.epoch
             request.version = reply.version
 
--- a/traystall/registry/service.py
+++ b/traystall/registry/service.py
@@ -19,13 +19,16 @@
     """Take reports of targets and answer watches of them.
 
     `members` returns the control daemons as wire records, so that a watcher
-    learns whom it can ask besides.
+    learns whom it can ask besides; `number` returns the newest revision of the
+    configuration, so that it learns of a new one from whichever daemon has it.
     """
 
-    def __init__(self, members):
+    def __init__(self, members, number=lambda: 0):
         self.registry = Registry()
         self.epoch = new_id()
         self._members = members
+        self._number = number
+        self._number_told = number()
         self._changed = asyncio.Event()
         self._forget_due = clock.monotonic() + _FORGET_EVERY
 
@@ -43,13 +46,19 @@
         """Return what is new since the watcher's version, waiting a while if nothing is."""
         known = request.version if request.epoch == self.epoch else 0
         deadline = clock.monotonic() + WATCH_HOLD
-        while known >= self.registry.version:
+        while known >= self.registry.version and (request.number or 0) >= self._number():
             left = deadline - clock.monotonic()
             if left <= 0:
                 break
             await self._wait(left)
         return self._reply(known)
 
+    def on_applied(self) -> None:
+        """Wake the watchers if there is a new revision of the configuration."""
+        if self._number() != self._number_told:
+            self._number_told = self._number()
+            self.wake()
+
     def wake(self) -> None:
         """Wake every watch that waits; later ones wait on a new event."""
         changed, self._changed = self._changed, asyncio.Event()
@@ -68,6 +77,7 @@
             targets=[to_record(row, now) for row in self.registry.since(known)],
             ages=ages,
             members=members,
+            number=self._number(),
         )
 
     async def _wait(self, seconds):
--- a/traystall/rpc/gen/wire/ttypes.py
+++ b/traystall/rpc/gen/wire/ttypes.py
@@ -4821,6 +4821,7 @@
      - sender
      - epoch
      - version
+     - number
 
     """
 
@@ -4828,13 +4829,15 @@
         'sender',
         'epoch',
         'version',
+        'number',
     )
 
 
-    def __init__(self, sender=None, epoch=None, version=None,):
+    def __init__(self, sender=None, epoch=None, version=None, number=None,):
         self.sender = sender
         self.epoch = epoch
         self.version = version
+        self.number = number
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4860,6 +4863,11 @@
                     self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4882,6 +4890,10 @@
             oprot.writeFieldBegin('version', TType.I64, 3)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 4)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4915,6 +4927,7 @@
      - targets
      - ages
      - members
+     - number
 
     """
 
@@ -4924,15 +4937,17 @@
         'targets',
         'ages',
         'members',
+        'number',
     )
 
 
-    def __init__(self, epoch=None, version=None, targets=None, ages=None, members=None,):
+    def __init__(self, epoch=None, version=None, targets=None, ages=None, members=None, number=None,):
         self.epoch = epoch
         self.version = version
         self.targets = targets
         self.ages = ages
         self.members = members
+        self.number = number
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4986,6 +5001,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5026,6 +5046,10 @@
                 iter140.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 6)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6717,6 +6741,7 @@
     (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'epoch', 'UTF8', None, ),  # 2
     (3, TType.I64, 'version', None, None, ),  # 3
+    (4, TType.I64, 'number', None, None, ),  # 4
 )
 all_structs.append(RegistryReply)
 RegistryReply.thrift_spec = (
@@ -6726,6 +6751,7 @@
     (3, TType.LIST, 'targets', (TType.STRUCT, [TargetRecord, None], False), None, ),  # 3
     (4, TType.MAP, 'ages', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 4
     (5, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 5
+    (6, TType.I64, 'number', None, None, ),  # 6
 )
 all_structs.append(StageRequest)
 StageRequest.thrift_spec = (
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -165,10 +165,11 @@
   9: double warming, 10: double age
 }
 // A watch of one registry: `epoch` names the life of the registry, `version` what is known of it.
-struct RegistryRequest { 1: string sender, 2: string epoch, 3: i64 version }
+// `number` is the newest revision of the configuration that the watcher holds, or that is known.
+struct RegistryRequest { 1: string sender, 2: string epoch, 3: i64 version, 4: i64 number }
 struct RegistryReply {
   1: string epoch, 2: i64 version, 3: list<TargetRecord> targets
-  4: map<string, double> ages, 5: list<Member> members
+  4: map<string, double> ages, 5: list<Member> members, 6: i64 number
 }
 
 // ---- pieces of stages, gathered by one gateway a pool ----
