--- /dev/null
+++ b/tests/passthrough/test_admission.py
@@ -0,0 +1,92 @@
+"""Requests that could not be in time are refused at once; those that have begun go through."""
+
+import pytest
+
+from traystall.passthrough.admission import AdmissionBook, Arrival
+from traystall.passthrough.waiting import WaitForecast
+from traystall.routes.models import Route, Split, StagePlan
+
+ROUTE = Route(
+    "r", "h", "/", (Split("engine"),), aim=1.0, stages=(StagePlan("p"), StagePlan("q", (0,)))
+)
+RATES = {"p": 40.0, "q": 80.0}
+
+
+def arrival(name, slack=0.5, priority=1, counts=(1, 8), mark=None):
+    return Arrival(name, ROUTE, counts, priority, slack, 6.0, mark or name)
+
+
+def nothing(pool, priority):
+    return 0
+
+
+def test_idle_system_lets_everything_in():
+    assert AdmissionBook().admit(arrival("a"), nothing, RATES, 0.0).admitted
+
+
+def test_what_others_have_begun_counts():
+    book = AdmissionBook()
+    admitted = [book.admit(arrival(str(i)), nothing, RATES, 0.0).admitted for i in range(20)]
+    assert admitted[0] and not admitted[-1]
+    assert book.to_come("q", 1) == 8 * sum(admitted)
+    assert book.to_come("q", 0) == 0, "less urgent work does not count for urgent work"
+
+
+def test_refusal_says_when_to_come_back():
+    verdict = AdmissionBook().admit(arrival("a"), lambda pool, priority: 400, RATES, 0.0)
+    assert not verdict.admitted
+    assert 0.2 <= verdict.retry_after <= 2.0
+
+
+def test_request_that_has_begun_goes_through():
+    book = AdmissionBook()
+    assert book.admit(arrival("a"), nothing, RATES, 0.0).admitted
+    assert book.admit(arrival("a"), lambda pool, priority: 10**6, RATES, 1.0).admitted
+
+
+def test_request_that_came_back_is_let_in_nearer_to_its_aim():
+    def waiting(pool, priority):
+        return 20 if pool == "p" else 0
+
+    book = AdmissionBook()
+    assert not book.admit(arrival("a", mark="m"), waiting, RATES, 0.0).admitted
+    assert book.admit(arrival("b", mark="m"), waiting, RATES, 1.0).admitted
+    assert not book.admit(arrival("c", mark="n"), waiting, RATES, 1.0).admitted
+
+
+def test_finished_ended_and_lost_requests_no_longer_count():
+    book = AdmissionBook()
+    for name in "abc":
+        book.admit(arrival(name), nothing, RATES, 0.0)
+    book.asked("a", 0)
+    assert book.to_come("p", 1) == 2
+    book.asked("a", 1)
+    book.made("a", 0, 0.5, 0.6)
+    book.made("a", 1, 0.5, 1.2)
+    book.ended("b")
+    assert book.to_come("q", 1) == 8
+    book.admit(arrival("d"), nothing, RATES, 100.0)
+    assert book.to_come("q", 1) == 8, "only the newest is left"
+
+
+@pytest.mark.parametrize(("factor", "sign"), [(3.0, 1), (0.2, -1)])
+def test_forecasts_follow_how_requests_fare(factor, sign):
+    book = AdmissionBook()
+    for i in range(60):
+        verdict = book.admit(arrival(str(i)), lambda pool, priority: 8, RATES, float(i))
+        if not verdict.admitted:
+            break
+        for stage in (0, 1):
+            book.made(str(i), stage, 0.5, i + 0.5 + 0.2 * factor)
+    assert (book.scale - 1.0) * sign > 0.2
+
+
+def test_urgent_arrivals_slow_less_urgent_work_down():
+    forecast = WaitForecast()
+    alone = forecast.seconds(2, 20, 40.0, 0.0)
+    for step in range(100):
+        forecast.note(0, 1, step * 0.05)
+    assert forecast.seconds(2, 20, 40.0, 5.0) > 1.5 * alone
+    assert forecast.seconds(0, 20, 40.0, 5.0) == alone
+    assert forecast.seconds(2, 20, 40.0, 60.0) == pytest.approx(alone, rel=0.01)
+    assert forecast.seconds(2, 20, 0.0, 0.0) == float("inf")
--- a/tests/passthrough/test_decisions.py
+++ b/tests/passthrough/test_decisions.py
@@ -9,6 +9,7 @@
 from traystall.passthrough.board import TargetBoard, rendezvous_order
 from traystall.passthrough.budget import BudgetRule, RepeatBudget
 from traystall.passthrough.choice import Prompt, choose_target, parse_prompt
+from traystall.passthrough.makers import SLOW_RATIO, Maker
 from traystall.passthrough.placement import (
     EngineChoice,
     EnginePlacer,
@@ -53,7 +54,7 @@
     assert [j.call_id for j in take_batch(jobs, PROFILE, 10, 0.0)] == ["a", "b"]
 
 
-def test_what_is_late_already_waits_behind_what_can_be_in_time():
+def test_of_equal_urgency_what_is_late_waits_behind_what_can_be_in_time():
     jobs = [job("late", 0.0), job("soon", 3.0), job("later", 4.0)]
     assert [j.call_id for j in take_batch(jobs, PROFILE, 10, 2.0)] == ["soon", "later"]
 
@@ -181,6 +182,22 @@
     assert engine.unread(prompt("z", shared="4")) == 4_000
 
 
+PIECES = BatchProfile(batch=4, call_seconds=0.15, piece_seconds=0.03)
+
+
+def test_slow_maker_is_called_only_when_the_others_are_far_behind():
+    maker = Maker()
+    maker.began(0.0, 0)
+    maker.ended(0)
+    assert maker.is_worth_calling(PIECES, 100, 2, 0.1)
+    maker.learn(4 * PIECES.seconds(4), PIECES.seconds(4))
+    assert maker.ratio > SLOW_RATIO
+    assert not maker.is_worth_calling(PIECES, 4, 2, 0.1)
+    assert maker.is_worth_calling(PIECES, 100, 2, 0.1), "the queue is long"
+    assert maker.is_worth_calling(PIECES, 4, 0, 0.1), "there is no other"
+    assert maker.is_worth_calling(PIECES, 4, 2, 5.0), "it may have recovered"
+
+
 def test_room_is_counted_until_it_is_given_up():
     book = RoomBook()
     book.reserve(30)
--- /dev/null
+++ b/tests/passthrough/test_owners.py
@@ -0,0 +1,90 @@
+"""One gateway owns a key in everyone's view, and ownership moves seldom."""
+
+import pytest
+
+from traystall.core import clock
+from traystall.core.exceptions import RpcRefused, RpcTimeout
+from traystall.passthrough.owners import LEAVING, Owners, rank
+from traystall.tables.gateways import GatewayRow
+
+
+def row(name, started_at=0.0, state="serving", life=1):
+    return GatewayRow(
+        f"{name}/{life}", name, "here", "", f"{name}:1", 1, state, 0.0, False, (), started_at
+    )
+
+
+class Context:
+    def __init__(self, identity, directory):
+        self.identity = identity
+        self.follower = self
+        self.directory = directory
+
+
+def owner_of(owners, context):
+    found = owners.owner("k")
+    return found.identity if found else context.identity
+
+
+@pytest.fixture
+def now(monkeypatch):
+    class Clock:
+        time = 100.0
+
+    monkeypatch.setattr(clock, "monotonic", lambda: Clock.time)
+    return Clock
+
+
+def make(names="abcde"):
+    directory = [row(name) for name in names]
+    contexts = [Context(r.identity, list(directory)) for r in directory]
+    return directory, [(Owners(context), context) for context in contexts]
+
+
+def test_all_agree(now):
+    _, all_owners = make()
+    assert len({owner_of(*pair) for pair in all_owners}) == 1
+
+
+def test_restarted_gateway_does_not_take_over_at_once(now):
+    directory, all_owners = make()
+    first = rank(directory, "k", now.time)[0]
+    name = first.split("/")[0]
+    again = row(name, started_at=now.time, life=2)
+    for owners, context in all_owners:
+        owner_of(owners, context)
+        context.directory = [r for r in directory if r.identity != first] + [again]
+    others = [pair for pair in all_owners if pair[1].identity != first]
+    chosen = {owner_of(*pair) for pair in others}
+    assert len(chosen) == 1 and again.identity not in chosen and first not in chosen
+
+
+def test_gateway_missing_in_one_directory_is_remembered(now):
+    directory, all_owners = make()
+    owners, context = all_owners[0]
+    before = owner_of(owners, context)
+    context.directory = [r for r in directory if r.identity == context.identity]
+    assert owner_of(owners, context) == before
+    now.time += 10
+    context.directory = [row("a")]
+    assert owner_of(owners, context) == context.identity
+
+
+@pytest.mark.parametrize(
+    ("error", "seconds"),
+    [(RpcTimeout("silent"), 3), (RpcRefused(LEAVING, ""), 31)],
+)
+def test_gateway_that_does_not_serve_is_left_out_for_a_while(now, error, seconds):
+    directory, all_owners = make()
+    first = rank(directory, "k", now.time)[0]
+    owners, context = next(pair for pair in all_owners if pair[1].identity != first)
+    owners.on_error(first, error)
+    assert owner_of(owners, context) != first
+    now.time += seconds
+    assert owner_of(owners, context) == first
+
+
+def test_all_new_gateways_choose_among_themselves(now):
+    directory = [row(name, started_at=now.time) for name in "abc"]
+    context = Context("a/1", directory)
+    assert owner_of(Owners(context), context) in {"a/1", "b/1", "c/1"}
--- a/tests/passthrough/test_streams.py
+++ b/tests/passthrough/test_streams.py
@@ -1,5 +1,7 @@
 """Streams arrive whole and once, or visibly broken; resumable ones go on elsewhere."""
 
+import asyncio
+
 import aiohttp
 import pytest
 
@@ -96,8 +98,6 @@
             answer = await gateway.call(
                 "/staged/x", **{"Traystall-Pieces": counts, "Traystall-Piece-Key": "pk"}
             )
-            import asyncio
-
             await asyncio.sleep(0.1)
         return answer, engine, batches
     finally:
@@ -136,3 +136,23 @@
     assert status == 503
     assert float(headers["Retry-After"]) > 0
     assert not engine.runs
+
+
+def test_pieces_of_a_silent_maker_are_made_elsewhere():
+    async def play():
+        engine = await Runner("e-1", events=3).start()
+        silent = await Runner("s-0", faults=["silent"] * 9).start()
+        sound = await Runner("s-1").start()
+        runners = [engine, silent, sound]
+        try:
+            pools = [("engine", engine), ("batches", silent), ("batches", sound)]
+            async with EmulatedGateway(table(stages=STAGES, timeout=1.0), pools) as gateway:
+                headers = {"Traystall-Pieces": "8,1", "Traystall-Piece-Key": "pk"}
+                return await gateway.call("/staged/x", **headers), silent
+        finally:
+            for runner in runners:
+                await runner.stop()
+
+    (status, _, body), silent = run(play())
+    assert (status, body) == (200, whole(3))
+    assert silent.calls
--- a/traystall/gateway/configuration.py
+++ b/traystall/gateway/configuration.py
@@ -149,7 +149,9 @@
             return
         before = _essentials(self.directory)
         now = clock.monotonic()
-        self.directory = [to_row(record, now, direct=False) for record in reply.directory]
+        self.directory = [
+            to_row(record, now - (record.age or 0.0), direct=False) for record in reply.directory
+        ]
         self._directory_version = reply.directory_version
         if before != _essentials(self.directory):
             self._notify()
--- a/traystall/gateway/daemon.py
+++ b/traystall/gateway/daemon.py
@@ -99,6 +99,7 @@
             state=self._state,
             age=0.0,
             leaving=self._leaving(),
+            uptime=0.0,
         )
 
     def _leaving(self):
--- /dev/null
+++ b/traystall/passthrough/admission.py
@@ -0,0 +1,169 @@
+"""Decide whether a request may begin its stages now. Pure; times are monotonic seconds.
+
+The gateway that gathers the pieces of all pools knows what waits in each and
+what the requests that have begun will still ask of it. A request that could not
+be in time is refused at once, while that is worth something to its caller;
+those that have begun go through, because what they hold would be lost.
+"""
+
+import msgspec
+
+from traystall.passthrough.waiting import WaitForecast
+from traystall.routes.models import Route
+
+# A request must be expected this part of its aim before it is late: a forecast errs both ways.
+_MARGIN_PART = 0.15
+# One that came back is let in nearer to its aim: to be refused again is worth least.
+_RETURN_PART = 0.25
+_MIN_RETRY = 0.25
+# Callers wait up to a third of the time they have left; a little less reaches them surely.
+_RETRY_PART = 0.3
+# A request that was refused is known again this long.
+_REMEMBERED_SECONDS = 10.0
+# Forecasts are scaled by how requests have fared beside theirs; bounds and weight of the newest.
+_MIN_SCALE, _MAX_SCALE = 0.5, 3.0
+_LEARNING = 0.1
+# Waits below this, in seconds, say nothing of the forecast.
+_SHORT_WAIT = 0.1
+# Chains whose end was never told are forgotten after this long.
+_LOST_SECONDS = 15.0
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """Describe a request that wants to begin.
+
+    `slack` is how long it may wait and still be in time, `seconds_left` until
+    its caller gives up; `mark` is the same when the caller tries again.
+    """
+
+    request_id: str
+    route: Route
+    counts: tuple[int, ...]
+    priority: int
+    slack: float
+    seconds_left: float
+    mark: str = ""
+
+    def demand(self, done: frozenset[int] = frozenset()) -> dict[str, int]:
+        """Return how many pieces of each pool are still to be asked for."""
+        wanted: dict[str, int] = {}
+        for index, count in enumerate(self.counts):
+            if count and index not in done:
+                pool = self.route.stages[index].pool
+                wanted[pool] = wanted.get(pool, 0) + count
+        return wanted
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """Hold a decision; `retry_after` is set where it is a refusal, in seconds."""
+
+    admitted: bool
+    wait: float
+    retry_after: float = 0.0
+
+
+class _Chain(msgspec.Struct):
+    arrival: Arrival
+    since: float
+    wait: float
+    asked: set[int] = msgspec.field(default_factory=set)
+    done: set[int] = msgspec.field(default_factory=set)
+
+
+class AdmissionBook:
+    """Hold the requests that have begun their stages."""
+
+    def __init__(self):
+        self._chains: dict[str, _Chain] = {}
+        self._forecasts: dict[str, WaitForecast] = {}
+        self._refused: dict[str, float] = {}
+        # How long requests have waited beside what was forecast for them.
+        self.scale = 1.0
+
+    def admit(self, arrival: Arrival, waiting, rates: dict[str, float], now: float) -> Verdict:
+        """Decide on a request; one that has begun is always let through.
+
+        `waiting(pool, priority)` returns the pieces that wait there and go before
+        work of a priority, `rates` how many pieces a second each pool makes.
+        """
+        if arrival.request_id in self._chains:
+            return Verdict(True, 0.0)
+        self._forget(now)
+        raw_wait = self._longest_wait(arrival, waiting, rates, now)
+        wait = raw_wait * self.scale
+        if wait > self._limit(arrival):
+            self._refused[arrival.mark] = now
+            return Verdict(False, wait, _retry_after(arrival, wait))
+        self._chains[arrival.request_id] = _Chain(arrival, now, raw_wait)
+        for pool, count in arrival.demand().items():
+            self._forecast(pool).note(arrival.priority, count, now)
+        return Verdict(True, wait)
+
+    def asked(self, request_id: str, stage: int) -> None:
+        """Note that the pieces of a stage were asked for: they now wait in their queue."""
+        chain = self._chains.get(request_id)
+        if chain is not None:
+            chain.asked.add(stage)
+
+    def made(self, request_id: str, stage: int, usual_seconds: float, now: float) -> None:
+        """Note that a stage was made; after the last one learn from how long all took.
+
+        `usual_seconds` is how long the whole chain takes without any waiting.
+        """
+        chain = self._chains.get(request_id)
+        if chain is None:
+            return
+        chain.done.add(stage)
+        if chain.arrival.demand(frozenset(chain.done)):
+            return
+        del self._chains[request_id]
+        waited = now - chain.since - usual_seconds
+        if chain.wait > _SHORT_WAIT:
+            found = max(0.0, waited) / chain.wait
+            self.scale += _LEARNING * (found - self.scale)
+            self.scale = min(_MAX_SCALE, max(_MIN_SCALE, self.scale))
+
+    def ended(self, request_id: str) -> None:
+        """Note that a request is over, whatever it has still to ask for."""
+        self._chains.pop(request_id, None)
+
+    def to_come(self, pool: str, priority: int) -> int:
+        """Return how many pieces requests that have begun will still ask of a pool."""
+        return sum(
+            chain.arrival.demand(frozenset(chain.asked)).get(pool, 0)
+            for chain in self._chains.values()
+            if chain.arrival.priority <= priority
+        )
+
+    def _longest_wait(self, arrival, waiting, rates, now):
+        waits = [0.0]
+        for pool in arrival.demand():
+            ahead = waiting(pool, arrival.priority) + self.to_come(pool, arrival.priority)
+            forecast = self._forecast(pool)
+            rate = rates.get(pool, 0.0)
+            waits.append(forecast.seconds(arrival.priority, ahead, rate, now))
+        return max(waits)
+
+    def _limit(self, arrival):
+        """Return the longest wait with which a request is let in."""
+        aim = arrival.route.aim
+        usual = max(_SHORT_WAIT, arrival.slack - aim * _MARGIN_PART)
+        if arrival.mark and arrival.mark in self._refused:
+            return usual + aim * _RETURN_PART
+        return usual
+
+    def _forecast(self, pool) -> WaitForecast:
+        return self._forecasts.setdefault(pool, WaitForecast())
+
+    def _forget(self, now):
+        for request_id, chain in list(self._chains.items()):
+            if now - chain.since > _LOST_SECONDS:
+                del self._chains[request_id]
+        for mark, at in list(self._refused.items()):
+            if now - at > _REMEMBERED_SECONDS:
+                del self._refused[mark]
+
+
+def _retry_after(arrival, wait):
+    wanted = wait - max(0.0, arrival.slack)
+    return max(_MIN_RETRY, min(wanted, arrival.seconds_left * _RETRY_PART))
--- a/traystall/passthrough/attempt.py
+++ b/traystall/passthrough/attempt.py
@@ -42,6 +42,7 @@
         self._connection: TargetConnection | None = None
         self._whole = False
         self.was_sent = False
+        self.sent_at = 0.0
 
     async def __aenter__(self):
         return self
@@ -63,6 +64,7 @@
         """Send the request. From here on it may have run."""
         self._connection.send(data)
         self.was_sent = True
+        self.sent_at = clock.monotonic()
 
     async def read_head(self) -> ResponseHead:
         """Return the head of the answer to this request; skip answers of earlier ones."""
--- a/traystall/passthrough/batching.py
+++ b/traystall/passthrough/batching.py
@@ -33,18 +33,23 @@
 
 
 def order_key(job: PieceJob, now: float) -> tuple:
-    """Return what to sort by: what can still be in time first, by urgency, then by time left."""
-    lost = job.due < now - _LOST_SECONDS
-    return (lost, job.priority, job.due, job.request_id, job.stage, job.piece)
+    """Return what to sort by: requests that have begun, then urgency, then time left.
+
+    What a request that has begun holds takes room, so it goes on even if it is
+    late; of the others those that can still be in time go first.
+    """
+    begun = bool(job.inputs)
+    lost = not begun and job.due < now - _LOST_SECONDS
+    return (not begun, job.priority, lost, job.due, job.request_id, job.stage, job.piece)
 
 
-def may_go(job: PieceJob, data_centre: str, now: float) -> bool:
+def may_go(job: PieceJob, data_centre: str, crowded: bool, now: float) -> bool:
     """Return whether a target of `data_centre` may make a piece now.
 
     Results that cross data centres cost more than some waiting.
     """
     at_home = not job.data_centre or job.data_centre == data_centre
-    return at_home or job.due < now + _PRESSING_SECONDS
+    return at_home or crowded or job.due < now + _PRESSING_SECONDS
 
 
 def take_batch(
@@ -53,19 +58,30 @@
     room: float,
     now: float,
     data_centre: str = "",
+    makers: int = 1,
 ) -> list[PieceJob]:
     """Return the pieces for one call of a target, within its batch and room.
 
-    The most pressing go first; a call that takes place anyway is filled up with
-    whatever waits.
+    The most pressing go first. While more waits than all `makers` of the pool
+    take at once, no slot is left empty for the sake of a piece's data centre.
     """
     live = [job for job in waiting if job.deadline > now]
+    crowded = len(live) > profile.batch * makers
     ranked = sorted(live, key=lambda job: order_key(job, now))
+    if crowded and data_centre:
+        ranked = _home_first(ranked, profile.batch, data_centre)
     batch: list[PieceJob] = []
     for job in ranked:
         if len(batch) == profile.batch:
             break
-        if job.result_bytes <= room and may_go(job, data_centre, now):
+        if job.result_bytes <= room and may_go(job, data_centre, crowded, now):
             room -= job.result_bytes
             batch.append(job)
     return batch
+
+
+def _home_first(ranked, batch, data_centre):
+    """Return the next two calls' worth of pieces with those read here before the others."""
+    head, rest = ranked[: 2 * batch], ranked[2 * batch :]
+    head.sort(key=lambda job: bool(job.data_centre) and job.data_centre != data_centre)
+    return head + rest
--- a/traystall/passthrough/context.py
+++ b/traystall/passthrough/context.py
@@ -7,11 +7,12 @@
 from traystall.passthrough.board import TargetBoard
 from traystall.passthrough.budget import BudgetRule, RepeatBudget
 from traystall.passthrough.dialect import HeaderNames, StageDialect
-from traystall.passthrough.owners import Owners, gathering_key
+from traystall.passthrough.owners import GATHERING_KEY, Owners
 from traystall.registry.follower import RegistryFollower
 from traystall.routes.matching import RouteIndex
 
 _MIN_CONNECTIONS = 4
+_MAX_ENGINE_SCALE = 3.0
 # As how many gateways share the slack for pieces: the one that gathers, and its stand-ins.
 _GATHERING_GATEWAYS = 1
 # Weight of the newest duration of a stage.
@@ -43,6 +44,7 @@
         self._budget_rule = budget_rule
         self._budgets: dict[str, RepeatBudget] = {}
         self._stage_seconds: dict[str, float] = {}
+        self._engine_scale = 1.0
 
     @property
     def index(self) -> RouteIndex:
@@ -70,9 +72,17 @@
         """Take repeats from the budget of a pool; return whether it allowed them."""
         return self.budget(pool).take(clock.monotonic(), self.gateways(), count)
 
+    def learn_engine(self, usual: float, found: float) -> None:
+        """Learn from a first event how long engines take beside what a prompt usually takes."""
+        self._engine_scale += _LEARNING * (found / max(0.01, usual) - self._engine_scale)
+
+    def engine_seconds(self, usual: float) -> float:
+        """Return about how long the first event takes now, for what it usually takes."""
+        return usual * min(_MAX_ENGINE_SCALE, max(1.0, self._engine_scale))
+
     def may_repeat_gathered(self, pool: str) -> bool:
         """The same for pieces, which one gateway sends for all: it has most of the slack."""
-        gathers = self.owners.owner(gathering_key(pool)) is None
+        gathers = self.owners.owner(GATHERING_KEY) is None
         gateways = _GATHERING_GATEWAYS if gathers else self.gateways()
         return self.budget(pool).take(clock.monotonic(), gateways)
 
@@ -82,11 +92,14 @@
         self._stage_seconds[pool] = known + _LEARNING * (seconds - known)
 
     def stage_seconds(self, pool: str) -> float:
-        """Return about how long a stage of a pool takes; a full call where none was made yet."""
+        """Return about how long a stage of a pool takes now, its waiting included."""
+        return self._stage_seconds.get(pool, self.usual_stage_seconds(pool))
+
+    def usual_stage_seconds(self, pool: str) -> float:
+        """Return how long a full call of a pool takes."""
         found = self.index.pools.get(pool)
         profile = found.batches if found else None
-        usual = profile.seconds(profile.batch) if profile else 0.0
-        return self._stage_seconds.get(pool, usual)
+        return profile.seconds(profile.batch) if profile else 0.0
 
     def usable(self, pool: str):
         """Return the targets of a pool to which work may go now."""
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from traystall.conf.settings import Settings
-from traystall.core import daemon
+from traystall.core import clock, daemon
 from traystall.core.exceptions import RpcRefused
 from traystall.core.health import add_health_routes
 from traystall.core.ids import new_id
@@ -17,6 +17,7 @@
 from traystall.passthrough.dialect import HeaderNames, StageDialect
 from traystall.passthrough.front import PassFront
 from traystall.passthrough.gatherer import Gatherer
+from traystall.passthrough.owners import LEAVING
 from traystall.passthrough.placing import Placing
 from traystall.registry.follower import RegistryFollower
 from traystall.routes.tables import RoutingTables, Translator
@@ -29,6 +30,8 @@
 # Kept connections of callers are closed only after this long without a request, in seconds.
 _IDLE_SECONDS = 60.0
 _PUMP_SECONDS = 0.25
+# How long what was gathered for other gateways may take after the last own request, in seconds.
+_GATHERED_SECONDS = 0.7
 
 logger = logging.getLogger(__name__)
 
@@ -50,6 +53,7 @@
         self._stage_dialect = stage_dialect
         self._identity = f"{settings.instance}/{new_id()}"
         self._state = "serving"
+        self._started_at = clock.monotonic()
         # Whom to ask for the configuration; grows with what the control daemons tell.
         self.controls: list[str] = list(settings.control)
         self._configured_controls: list[str] = list(settings.control)
@@ -90,6 +94,7 @@
         await asyncio.sleep(self.settings.drain_notice)
         await self._site.stop()
         await self._front.drain(self.settings.drain_limit)
+        await self.gateway_context.gatherer.drain(_GATHERED_SECONDS)
         logger.info("drained", extra={"in_flight": self._front.in_flight})
 
     async def stop(self, exception: Exception | None = None) -> None:
@@ -159,15 +164,20 @@
             state=self._state,
             age=0.0,
             leaving=[],
+            uptime=clock.monotonic() - self._started_at,
         )
 
     async def _answer_peer(self, request):
         """Answer another gateway."""
         gatherer = self.gateway_context.gatherer
+        asks = isinstance(request, ttypes.StageRequest | ttypes.PlaceRequest)
+        if asks and self._state != "serving":
+            # Whoever asks takes another gateway from now on.
+            raise RpcRefused(LEAVING, "This gateway is about to stop.")
         if isinstance(request, ttypes.StageRequest):
             return await gatherer.run_here(request)
         if isinstance(request, ttypes.StageCancel):
-            gatherer.cancel(request.call_id)
+            gatherer.cancel(request.call_id, request.request_id)
             return None
         if isinstance(request, ttypes.StageFreed):
             gatherer.freed_here(request.pool, request.handles)
--- a/traystall/passthrough/gatherer.py
+++ b/traystall/passthrough/gatherer.py
@@ -8,12 +8,15 @@
 import asyncio
 import logging
 
+from traystall.core import clock
 from traystall.core.exceptions import RpcError
 from traystall.core.logs import decision
+from traystall.passthrough.admission import AdmissionBook, Arrival, Verdict
 from traystall.passthrough.attempt import Attempt
 from traystall.passthrough.context import PassContext
 from traystall.passthrough.exceptions import ExchangeError
-from traystall.passthrough.owners import gathering_key
+from traystall.passthrough.owners import GATHERING_KEY
+from traystall.passthrough.piece_calls import request_bytes
 from traystall.passthrough.piece_queue import PieceQueue
 from traystall.rpc.client import LinkPool
 from traystall.rpc.gen.wire.ttypes import (
@@ -25,6 +28,8 @@
     StageRequest,
 )
 
+# The reason of pieces of a request that was refused before it began.
+BUSY = "busy"
 # While a gatherer holds pieces it is asked this often, in seconds, whether it is there.
 _PING_SECONDS = 0.15
 _PING_TIMEOUT = 0.15
@@ -42,18 +47,19 @@
         self._context = context
         self._links = links
         self._queues: dict[str, PieceQueue] = {}
+        self._book = AdmissionBook()
         self._to_free: dict[tuple[str, str], list[str]] = {}
         self._tasks: set[asyncio.Task] = set()
 
     async def run(self, request: StageRequest) -> StageReply:
         """Return the handles of all pieces of one stage, or why there are none."""
-        owner = self._owner(request.pool)
+        owner = self._owner()
         if owner is None:
             return await self.run_here(request)
         try:
             return await self._run_at(owner, request)
         except RpcError as error:
-            self._context.owners.suspect(owner.identity)
+            self._context.owners.on_error(owner.identity, error)
             decision(
                 "gather-here",
                 request=request.request_id,
@@ -64,11 +70,35 @@
         return await self.run_here(request)
 
     async def run_here(self, request: StageRequest) -> StageReply:
-        """Gather the pieces of one stage at this gateway."""
-        return await self._queue(request.pool).run(request)
-
-    def cancel(self, call_id: str) -> None:
-        """Drop the pieces of a call that nobody waits for any more."""
+        """Gather the pieces of one stage at this gateway, or refuse a request that begins."""
+        verdict = self._admit(request)
+        if not verdict.admitted:
+            return StageReply(
+                handles=[], reasons=[BUSY] * len(request.pieces), retry_after=verdict.retry_after
+            )
+        self._book.asked(request.request_id, request.stage)
+        reply = await self._queue(request.pool).run(request)
+        if all(reply.handles):
+            now = clock.monotonic()
+            self._book.made(request.request_id, request.stage, self._usual_seconds(request), now)
+        return reply
+
+    def _usual_seconds(self, request) -> float:
+        """Return how long the longest chain of a request takes without waiting."""
+        route = self._context.index.named(request.route)
+        if route is None:
+            return 0.0
+        ends: list[float] = []
+        for index, stage in enumerate(route.stages):
+            begins = max((ends[earlier] for earlier in stage.after), default=0.0)
+            count = request.counts[index] if request.counts else 0
+            own = self._context.usual_stage_seconds(stage.pool) if count else 0.0
+            ends.append(begins + own)
+        return max(ends, default=0.0)
+
+    def cancel(self, call_id: str, request_id: str) -> None:
+        """Drop the pieces of a call that nobody waits for any more; its request is over."""
+        self._book.ended(request_id)
         for queue in self._queues.values():
             queue.cancel(call_id)
 
@@ -90,6 +120,12 @@
             maker = self._context.stage_dialect.maker(handle)
             self._to_free.setdefault((pool, maker), []).append(handle)
 
+    async def drain(self, seconds: float) -> None:
+        """Return once nobody waits for pieces that are gathered here, or after `seconds`."""
+        deadline = clock.monotonic() + seconds
+        while clock.monotonic() < deadline and any(q.is_busy() for q in self._queues.values()):
+            await asyncio.sleep(0.02)
+
     def pump(self) -> None:
         """Call targets that have come free or are new."""
         for queue in self._queues.values():
@@ -102,8 +138,8 @@
 
     # ---- another gateway gathers ----
 
-    def _owner(self, pool):
-        return self._context.owners.owner(gathering_key(pool))
+    def _owner(self):
+        return self._context.owners.owner(GATHERING_KEY)
 
     async def _run_at(self, owner, request):
         link = self._links.link(owner.rpc_address)
@@ -115,7 +151,11 @@
                 return call.result()
             return watch.result()  # Raises what the watch has found.
         except asyncio.CancelledError:
-            self._spawn(self._send(link, StageCancel(call_id=request.call_id)))
+            self._spawn(
+                self._send(
+                    link, StageCancel(call_id=request.call_id, request_id=request.request_id)
+                )
+            )
             raise
         finally:
             watch.cancel()
@@ -136,6 +176,38 @@
 
     # ---- this gateway gathers ----
 
+    def _admit(self, request) -> Verdict:
+        route = self._context.index.named(request.route)
+        if route is None or len(request.counts or ()) != len(route.stages):
+            return Verdict(True, 0.0)
+        now = clock.monotonic()
+        arrival = Arrival(
+            request_id=request.request_id,
+            route=route,
+            counts=tuple(request.counts),
+            priority=request.priority or 0,
+            slack=request.seconds_to_start or 0.0,
+            seconds_left=request.seconds_left or 0.0,
+            mark=request.mark or "",
+        )
+        pools = {stage.pool for stage in route.stages}
+        rates = {pool: self._queue(pool).rate(now) for pool in pools}
+        verdict = self._book.admit(arrival, self._waiting, rates, now)
+        if not verdict.admitted:
+            decision(
+                "not-admitted",
+                request=request.request_id,
+                route=route.name,
+                wait=round(verdict.wait, 3),
+                slack=round(arrival.slack, 3),
+                rates={pool: round(rate, 1) for pool, rate in rates.items()},
+                retry_after=round(verdict.retry_after, 3),
+            )
+        return verdict
+
+    def _waiting(self, pool, priority):
+        return self._queue(pool).waiting(priority)
+
     def _queue(self, pool):
         found = self._queues.get(pool)
         if found is None:
@@ -153,7 +225,7 @@
     async def _free_and_tell(self, pool, maker, handles):
         """Give results up, then tell who counts the room: before that it is still taken."""
         await self._free_at(maker, handles)
-        owner = self._owner(pool)
+        owner = self._owner()
         if owner is None:
             self.freed_here(pool, handles)
         else:
@@ -165,17 +237,13 @@
         if view is None:
             return  # A maker that is gone holds nothing.
         call = self._context.stage_dialect.free(handles)
-        data = (
-            f"{call.method} {call.path} HTTP/1.1\r\nHost: {maker}\r\n"
-            f"Content-Type: application/json\r\nContent-Length: {len(call.body)}\r\n\r\n"
-        ).encode() + call.body
         try:
             async with (
                 asyncio.timeout(_FREE_TIMEOUT),
                 Attempt(view, self._context.names, None) as attempt,
             ):
                 await attempt.open(float("inf"))
-                attempt.send(data)
+                attempt.send(request_bytes(call, maker))
                 await attempt.read_whole()
         except (ExchangeError, TimeoutError) as error:
             logger.info("results not given up", extra={"maker": maker, "why": str(error)})
--- a/traystall/passthrough/owners.py
+++ b/traystall/passthrough/owners.py
@@ -1,18 +1,28 @@
-"""Find the one gateway that does something for all: gathers a pool's pieces, places its prompts.
+"""Find the one gateway that does something for all: gathers pieces, places prompts.
 
 Ownership is for efficiency only; two gateways that take themselves for the
-owner, or none that does, cost some repeats and rereads, never an answer.
+owner, or none that does, cost some repeats and rereads, never an answer. It
+should move seldom, because what an owner knows does not move with it: a gateway
+that has just started does not take over, and one that a single directory does
+not list is remembered for a while.
 """
 
 from traystall.core import clock
+from traystall.core.exceptions import RpcRefused
 from traystall.passthrough.board import rendezvous_order
+from traystall.tables.gateways import GatewayRow
 
+# One gateway gathers for all pools: it then knows what a request will ask of each.
+GATHERING_KEY = "gather"
+# The code by which a gateway that is about to stop refuses to own anything.
+LEAVING = "leaving"
+# A gateway that did not answer is left out this long, in seconds.
 _SUSPECT_SECONDS = 2.0
-
-
-def gathering_key(pool: str) -> str:
-    """Return the key of gathering a pool's pieces."""
-    return f"gather {pool}"
+_LEAVING_SECONDS = 30.0
+# A gateway owns nothing before it has run this long, unless none has.
+_SETTLED_SECONDS = 8.0
+# A gateway that the directory no longer lists still counts this long.
+_REMEMBERED_SECONDS = 4.0
 
 
 def placing_key(pool: str) -> str:
@@ -20,26 +30,48 @@
     return f"place {pool}"
 
 
+def rank(rows: list[GatewayRow], key: str, now: float) -> list[str]:
+    """Return the identities of gateways in the order in which they own `key`."""
+    settled = [row.identity for row in rows if now - row.started_at >= _SETTLED_SECONDS]
+    return rendezvous_order(key, settled or [row.identity for row in rows])
+
+
 class Owners:
     """Agree with the other gateways, without talking, on who owns what."""
 
     def __init__(self, context):
         self._context = context
-        self._suspects: dict[str, float] = {}
+        self._known: dict[str, tuple[GatewayRow, float]] = {}
+        self._left_out: dict[str, float] = {}
 
-    def owner(self, key: str):
+    def owner(self, key: str) -> GatewayRow | None:
         """Return the directory row of the owner of `key`, or None if it is this gateway."""
         now = clock.monotonic()
-        own = self._context.identity
-        rows = {
-            row.identity: row
-            for row in self._context.follower.directory
-            if row.state == "serving" and self._suspects.get(row.identity, 0.0) <= now
-        }
-        names = [*sorted(rows.keys() - {own}), own]
-        first = rendezvous_order(key, names)[0]
-        return None if first == own else rows[first]
-
-    def suspect(self, identity: str) -> None:
-        """Leave a gateway out for a while: it did not answer."""
-        self._suspects[identity] = clock.monotonic() + _SUSPECT_SECONDS
+        rows = self._candidates(now)
+        order = rank(rows, key, now)
+        if not order or order[0] == self._context.identity:
+            return None
+        return self._known[order[0]][0]
+
+    def on_error(self, identity: str, error: Exception) -> None:
+        """Leave a gateway out for a while: it did not answer, or said that it stops."""
+        leaving = isinstance(error, RpcRefused) and error.code == LEAVING
+        seconds = _LEAVING_SECONDS if leaving else _SUSPECT_SECONDS
+        self._left_out[identity] = clock.monotonic() + seconds
+
+    def _candidates(self, now) -> list[GatewayRow]:
+        for row in self._context.follower.directory:
+            self._known[row.identity] = (row, now)
+        newest = {row.instance: row for row, _ in self._known.values()}
+        for row, _ in self._known.values():
+            if row.started_at > newest[row.instance].started_at:
+                newest[row.instance] = row
+        for identity, (row, listed_at) in list(self._known.items()):
+            stale = now - listed_at > _REMEMBERED_SECONDS
+            if stale or newest[row.instance].identity != identity:
+                del self._known[identity]
+        return [
+            row
+            for identity, (row, _) in self._known.items()
+            if row.state == "serving" and self._left_out.get(identity, 0.0) <= now
+        ]
--- /dev/null
+++ b/traystall/passthrough/piece_calls.py
@@ -0,0 +1,67 @@
+"""One call of a target that makes pieces."""
+
+import asyncio
+
+from traystall.core import clock
+from traystall.passthrough.attempt import Attempt
+from traystall.passthrough.batching import PieceJob
+from traystall.passthrough.board import TargetView
+from traystall.passthrough.dialect import HttpCall, PieceOrder, PieceResult
+from traystall.passthrough.exceptions import NoAnswer
+
+# The reason of pieces whose call was never sent.
+UNREACHABLE = "unreachable"
+FULL = "full"
+# A call is given up after this many times what it should take, and this many seconds more.
+_PATIENCE = 6.0
+_PATIENCE_SECONDS = 0.5
+_PAUSE_SECONDS = 0.05
+_MISDIRECTED = 421
+
+
+async def call_maker(
+    context, view: TargetView, batch: list[PieceJob], expected: float
+) -> list[PieceResult]:
+    """Return the result of each piece; raise ExchangeError or TimeoutError if there is none."""
+    now = clock.monotonic()
+    call = context.stage_dialect.run([_to_order(job, now) for job in batch])
+    headers = {context.names.expected_incarnation: view.identity}
+    async with asyncio.timeout(expected * _PATIENCE + _PATIENCE_SECONDS):
+        async with Attempt(view, context.names, None) as attempt:
+            await attempt.open(float("inf"))
+            attempt.send(request_bytes(call, view.report.address, headers))
+            answer = await attempt.read_whole()
+    if attempt.has_not_run():
+        if answer.head.status == _MISDIRECTED:
+            view.is_misplaced = True
+        view.avoid_until = clock.monotonic() + _PAUSE_SECONDS
+        return [PieceResult(reason=FULL)] * len(batch)
+    if answer.head.status != 200:
+        raise NoAnswer(f"The target answered {answer.head.status}.", sent=True)
+    try:
+        return context.stage_dialect.results(answer.body, len(batch))
+    except ValueError as error:
+        raise NoAnswer(f"The results can't be read: {error}.", sent=True) from error
+
+
+def request_bytes(call: HttpCall, host: str, headers: dict[str, str] | None = None) -> bytes:
+    """Return the bytes of a call of our own with a JSON body."""
+    lines = [
+        f"{call.method} {call.path} HTTP/1.1",
+        f"Host: {host}",
+        "Content-Type: application/json",
+        f"Content-Length: {len(call.body)}",
+        *(f"{name}: {value}" for name, value in (headers or {}).items()),
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + call.body
+
+
+def _to_order(job, now) -> PieceOrder:
+    return PieceOrder(
+        request_id=job.request_id,
+        stage=job.stage,
+        piece=job.piece,
+        key=job.key,
+        inputs=job.inputs,
+        seconds_left=max(0.0, job.deadline - now),
+    )
--- a/traystall/passthrough/piece_queue.py
+++ b/traystall/passthrough/piece_queue.py
@@ -1,4 +1,4 @@
-"""Pieces that wait for the targets of one pool, and the calls that make them."""
+"""Pieces that wait for the targets of one pool, and who waits for them."""
 
 import asyncio
 
@@ -6,22 +6,21 @@
 
 from traystall.core import clock
 from traystall.core.logs import decision
-from traystall.passthrough.attempt import Attempt
 from traystall.passthrough.batching import PieceJob, take_batch
-from traystall.passthrough.dialect import PieceOrder, PieceResult
-from traystall.passthrough.exceptions import ConnectFailed, ExchangeError, NoAnswer
-from traystall.passthrough.room import RoomBook
+from traystall.passthrough.dialect import PieceResult
+from traystall.passthrough.exceptions import ConnectFailed, ExchangeError
+from traystall.passthrough.makers import SLOW_RATIO, Maker, overdue_after
+from traystall.passthrough.piece_calls import UNREACHABLE, call_maker
 from traystall.routes.models import BatchProfile
 from traystall.rpc.gen.wire.ttypes import StageReply, StageRequest
 
 # Reasons of a target for a piece that is worth asking for again.
 _PASSING_REASONS = ("room", "error", "full")
 _MAX_TRIES = 4
-# A call is given up after this many times what it should take, and this many seconds more.
-_PATIENCE = 3.0
-_PATIENCE_SECONDS = 0.3
 _PAUSE_SECONDS = 0.05
 _SOON_SECONDS = 0.02
+# A queue this young, in seconds, does not know what its targets still do for another gateway.
+_SETTLED_SECONDS = 2.0
 
 
 class _Call(msgspec.Struct, eq=False):
@@ -29,9 +28,15 @@
 
     handles: list[str]
     reasons: list[str]
-    open_pieces: int
     done: asyncio.Future
 
+    def close(self, piece: int, handle: str, reason: str) -> None:
+        """Take in what became of a piece; the first result of it counts."""
+        self.handles[piece] = handle
+        self.reasons[piece] = reason
+        if (reason or all(self.handles)) and not self.done.done():
+            self.done.set_result(None)
+
 
 class PieceQueue:
     """Hand the pieces of one pool to its targets, as many at a time as each takes."""
@@ -41,27 +46,25 @@
         self._pool = pool
         self._waiting: list[PieceJob] = []
         self._calls: dict[str, _Call] = {}
-        self._busy: dict[str, int] = {}
-        self._room: dict[str, RoomBook] = {}
+        self._makers: dict[str, Maker] = {}
         self._tasks: set[asyncio.Task] = set()
         self._timer: asyncio.TimerHandle | None = None
+        self._since = clock.monotonic()
 
     async def run(self, request: StageRequest) -> StageReply:
         """Return once all pieces of a call are made, or it is clear that they won't be."""
         now = clock.monotonic()
         count = len(request.pieces)
-        loop = asyncio.get_running_loop()
-        call = _Call([""] * count, [""] * count, count, loop.create_future())
+        call = _Call([""] * count, [""] * count, asyncio.get_running_loop().create_future())
         self._calls[request.call_id] = call
         self._context.budget(self._pool).on_request(now)
-        for piece in request.pieces:
-            self._waiting.append(_to_job(request, piece, now))
+        self._waiting += [_to_job(request, piece, now) for piece in request.pieces]
         self.pump()
         try:
             async with asyncio.timeout(max(0.0, request.seconds_left)):
                 await call.done
         except TimeoutError:
-            call.reasons = [reason or "late" for reason in call.reasons]
+            call.reasons = ["" if handle else "late" for handle in call.handles]
         finally:
             self.cancel(request.call_id)
         return StageReply(handles=call.handles, reasons=call.reasons)
@@ -71,144 +74,155 @@
         self._calls.pop(call_id, None)
         self._waiting = [job for job in self._waiting if job.call_id != call_id]
 
+    def freed(self, handles: list[str]) -> None:
+        """Take in that results were given up, and use the room."""
+        for handle in handles:
+            maker = self._makers.get(self._context.stage_dialect.maker(handle))
+            if maker is not None:
+                maker.book.free(handle)
+        self.pump()
+
+    def is_busy(self) -> bool:
+        """Return whether somebody waits for pieces of this queue."""
+        return bool(self._calls)
+
+    def waiting(self, priority: int) -> int:
+        """Return how many pieces wait that go before new work of a priority."""
+        return sum(1 for job in self._waiting if job.priority <= priority)
+
+    def rate(self, now: float) -> float:
+        """Return how many pieces a second the pool makes with full calls; 0 without targets."""
+        profile = self._profile()
+        if profile is None:
+            return 0.0
+        seconds = max(0.001, profile.seconds(profile.batch))
+        makers = [self._maker(view) for view in self._context.usable(self._pool)]
+        return sum(profile.slots * profile.batch / seconds / maker.ratio for maker in makers)
+
     def pump(self) -> None:
         """Give every free target its next call."""
         profile = self._profile()
         if profile is None or not self._waiting:
             return
         now = clock.monotonic()
-        for view in self._free_targets(profile, now):
-            book = self._book(view)
-            room = profile.room_bytes * book.share - book.taken(now)
-            batch = take_batch(self._waiting, profile, room, now, view.report.data_centre)
-            if not batch:
-                continue
-            taken = set(map(id, batch))
-            self._waiting = [job for job in self._waiting if id(job) not in taken]
-            # Counted here, not in the task: until that runs the target would look free.
-            self._busy[view.identity] = self._busy.get(view.identity, 0) + 1
-            self._spawn(self._call(view, batch, profile))
+        for view, maker in self._free_makers(profile, now):
+            room = profile.room_bytes * maker.book.share - maker.book.taken(now)
+            makers = len(self._context.usable(self._pool))
+            home = view.report.data_centre
+            batch = take_batch(self._waiting, profile, room, now, home, makers)
+            if batch:
+                self._begin(view, maker, batch, profile, now)
         if self._waiting:
-            self._pump_later(_SOON_SECONDS)
+            self._pump_later()
 
     def _profile(self) -> BatchProfile | None:
         pool = self._context.index.pools.get(self._pool)
         return pool.batches if pool else None
 
-    def _free_targets(self, profile, now):
+    def _maker(self, view) -> Maker:
+        return self._makers.setdefault(view.report.address, Maker())
+
+    def _free_makers(self, profile, now):
+        """Return the targets to call now, the fastest first."""
+        known = [(view, self._maker(view)) for view in self._context.usable(self._pool)]
+        sound = sum(1 for _, maker in known if maker.ratio < SLOW_RATIO)
         free = [
-            view
-            for view in self._context.usable(self._pool)
-            if self._busy.get(view.identity, 0) < profile.slots and now >= view.avoid_until
+            (view, maker)
+            for view, maker in known
+            if maker.calls < profile.slots
+            and now >= view.avoid_until
+            and maker.is_worth_calling(profile, len(self._waiting), sound, now)
         ]
-        return sorted(free, key=lambda view: (view.mean_seconds, view.identity))
+        return sorted(free, key=lambda pair: (pair[1].ratio, pair[0].identity))
 
-    def _book(self, view) -> RoomBook:
-        return self._room.setdefault(view.report.address, RoomBook())
-
-    def freed(self, handles: list[str]) -> None:
-        """Take in that results were given up, and use the room."""
-        for handle in handles:
-            book = self._room.get(self._context.stage_dialect.maker(handle))
-            if book is not None:
-                book.free(handle)
-        self.pump()
-
-    async def _call(self, view, batch, profile):
-        identity = view.identity
-        book = self._book(view)
+    def _begin(self, view, maker, batch, profile, now):
+        taken = set(map(id, batch))
+        self._waiting = [job for job in self._waiting if id(job) not in taken]
         size = sum(job.result_bytes for job in batch)
-        book.reserve(size)
-        view.running += 1
+        # Counted here, not in the task: until that runs the target would look free.
+        maker.began(now, size)
+        self._spawn(self._call(view, maker, batch, profile, size))
+
+    async def _call(self, view, maker, batch, profile, size):
         began = clock.monotonic()
+        expected = profile.seconds(len(batch))
+        settled = clock.monotonic() - self._since > _SETTLED_SECONDS
+        hedge = asyncio.get_running_loop().call_later(
+            overdue_after(expected, settled), self._ask_elsewhere, view, maker, batch, expected
+        )
         try:
-            results = await self._exchange(view, batch, profile)
-            seconds = clock.monotonic() - began
-            view.on_success(seconds / max(0.001, profile.seconds(len(batch))))
+            results = await call_maker(self._context, view, batch, expected)
+            maker.learn(clock.monotonic() - began, expected)
+            view.on_success(clock.monotonic() - began)
         except ConnectFailed as error:
             view.on_unreachable(clock.monotonic(), self._context.random)
-            results = [PieceResult(reason="unreachable")] * len(batch)
-            decision("pieces-failed", target=identity, why=error.reason)
+            results = [PieceResult(reason=UNREACHABLE)] * len(batch)
+            decision("pieces-failed", target=view.identity, why=error.reason)
         except (ExchangeError, TimeoutError) as error:
             view.on_failure(clock.monotonic(), self._context.random)
             results = [PieceResult(reason="error")] * len(batch)
-            decision("pieces-failed", target=identity, why=str(error) or "no answer in time")
+            decision("pieces-failed", target=view.identity, why=str(error) or "no answer in time")
         finally:
-            self._busy[identity] -= 1
-            view.running -= 1
-            book.unreserve(size)
-        self._settle(view, batch, results, profile)
+            hedge.cancel()
+            maker.ended(size)
+        self._settle(view, maker, batch, results, profile)
         decision(
             "pieces",
             pool=self._pool,
-            target=identity,
+            target=view.identity,
             pieces=len(batch),
             waiting=len(self._waiting),
             seconds=round(clock.monotonic() - began, 4),
+            expected=round(expected, 4),
             made=sum(1 for result in results if result.handle),
         )
         self.pump()
 
-    async def _exchange(self, view, batch, profile) -> list[PieceResult]:
-        context = self._context
-        now = clock.monotonic()
-        call = context.stage_dialect.run([_to_order(job, now) for job in batch])
-        data = (
-            f"{call.method} {call.path} HTTP/1.1\r\nHost: {view.report.address}\r\n"
-            f"{context.names.expected_incarnation}: {view.identity}\r\n"
-            f"Content-Type: application/json\r\nContent-Length: {len(call.body)}\r\n\r\n"
-        ).encode() + call.body
-        patience = profile.seconds(len(batch)) * _PATIENCE + _PATIENCE_SECONDS
-        async with asyncio.timeout(patience), Attempt(view, context.names, None) as attempt:
-            await attempt.open(float("inf"))
-            attempt.send(data)
-            answer = await attempt.read_whole()
-        if attempt.has_not_run():
-            if answer.head.status == 421:
-                view.is_misplaced = True
-            view.avoid_until = now + _PAUSE_SECONDS
-            return [PieceResult(reason="full")] * len(batch)
-        if answer.head.status != 200:
-            raise NoAnswer(f"The target answered {answer.head.status}.", sent=True)
-        try:
-            return context.stage_dialect.results(answer.body, len(batch))
-        except ValueError as error:
-            raise NoAnswer(f"The results can't be read: {error}.", sent=True) from error
+    def _ask_elsewhere(self, view, maker, batch, expected):
+        """Ask for the pieces of an overdue call again; the first result of each counts."""
+        maker.learn(overdue_after(expected, True), expected)
+        copies = [
+            msgspec.structs.replace(job, tries=job.tries + 1)
+            for job in batch
+            if self._is_open(job) and job.tries < _MAX_TRIES
+        ]
+        allowed = [job for job in copies if self._context.may_repeat_gathered(self._pool)]
+        if allowed:
+            decision("pieces-overdue", target=view.identity, pieces=len(allowed))
+            self._waiting += allowed
+            self.pump()
+
+    def _is_open(self, job) -> bool:
+        call = self._calls.get(job.call_id)
+        return call is not None and not call.handles[job.piece]
 
-    def _settle(self, view, batch, results, profile):
+    def _settle(self, view, maker, batch, results, profile):
         now = clock.monotonic()
-        orphans = []
-        refused = False
+        unused = []
         for job, result in zip(batch, results, strict=True):
             if result.handle:
-                until = now + profile.result_lifetime
-                self._book(view).hold(result.handle, job.result_bytes, until)
-            call = self._calls.get(job.call_id)
-            if call is None:
-                orphans += [result.handle] if result.handle else []
+                maker.book.hold(result.handle, job.result_bytes, now + profile.result_lifetime)
+            if not self._is_open(job):
+                unused += [result.handle] if result.handle else []
             elif result.handle:
-                self._close_piece(call, job, result.handle, "")
+                self._calls[job.call_id].close(job.piece, result.handle, "")
             elif not self._try_again(job, result.reason, now):
-                self._close_piece(call, job, "", result.reason)
-            if result.reason == "room":
-                refused = True
-                view.avoid_until = max(view.avoid_until, now + _PAUSE_SECONDS)
-        book = self._book(view)
-        if refused:
-            book.on_refused()
+                self._calls[job.call_id].close(job.piece, "", result.reason)
+        if any(result.reason == "room" for result in results):
+            maker.book.on_refused()
+            view.avoid_until = max(view.avoid_until, now + _PAUSE_SECONDS)
         else:
-            book.on_taken()
-        if orphans:
-            self._context.gatherer.free(self._pool, orphans)
+            maker.book.on_taken()
+        if unused:
+            self._context.gatherer.free(self._pool, unused)
 
     def _try_again(self, job, reason, now) -> bool:
-        if reason == "unreachable":
+        if reason == UNREACHABLE:
             self._waiting.append(job)
             return True
-        if reason == "room":
-            # It costs the maker nothing; the deadline and the budget bound it.
-            job.tries -= 1
-        job.tries += 1
+        if reason != "room":
+            # A refusal for want of room costs the maker nothing and may come often.
+            job.tries += 1
         if reason not in _PASSING_REASONS or job.tries >= _MAX_TRIES or now >= job.deadline:
             return False
         if not self._context.may_repeat_gathered(self._pool):
@@ -216,18 +230,10 @@
         self._waiting.append(job)
         return True
 
-    def _close_piece(self, call, job, handle, reason):
-        call.handles[job.piece] = handle
-        call.reasons[job.piece] = reason
-        call.open_pieces -= 1
-        lost = bool(reason)
-        if (call.open_pieces == 0 or lost) and not call.done.done():
-            call.done.set_result(None)
-
-    def _pump_later(self, seconds):
+    def _pump_later(self):
         if self._timer is None:
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(seconds, self._on_timer)
+            self._timer = loop.call_later(_SOON_SECONDS, self._on_timer)
 
     def _on_timer(self):
         self._timer = None
@@ -253,14 +259,3 @@
         result_bytes=request.result_bytes or 0,
         data_centre=request.data_centre or "",
     )
-
-
-def _to_order(job, now) -> PieceOrder:
-    return PieceOrder(
-        request_id=job.request_id,
-        stage=job.stage,
-        piece=job.piece,
-        key=job.key,
-        inputs=job.inputs,
-        seconds_left=max(0.0, job.deadline - now),
-    )
--- a/traystall/passthrough/placing.py
+++ b/traystall/passthrough/placing.py
@@ -99,7 +99,7 @@
         try:
             reply = await self._links.link(owner.rpc_address).call(request, _ASK_TIMEOUT)
         except RpcError as error:
-            self._context.owners.suspect(owner.identity)
+            self._context.owners.on_error(owner.identity, error)
             decision("place-here", request=request.request_id, why=str(error))
             return None
         view = self._context.board.view(reply.identity or "")
--- a/traystall/passthrough/request.py
+++ b/traystall/passthrough/request.py
@@ -9,6 +9,10 @@
 
 # A final answer is given this long before the deadline, in seconds, so that it arrives in time.
 ANSWER_MARGIN = 0.03
+# Callers of streams wait so many times the aim, and so many seconds at least, for the first event.
+_PATIENCE_AIMS = 4.0
+_MIN_PATIENCE = 2.0
+_PATIENCE_PART = 0.9
 
 
 class PassRequest:
@@ -63,6 +67,21 @@
             return self.customer.priority
         return self.route.priority
 
+    @property
+    def mark(self) -> str:
+        """Return what is the same when the caller tries again, as far as it can be told."""
+        own = self.prompt.parts[-1].name if self.prompt.parts else ""
+        return f"{self.route.name} {own} {self.prompt.tokens} {self.piece_counts}"
+
+    def stage_seconds_left(self) -> float:
+        """Return how long the stages may still take to be of use.
+
+        Past some multiple of the aim callers give a stream up that has not begun.
+        """
+        patience = max(_MIN_PATIENCE, self.route.aim * _PATIENCE_AIMS) * _PATIENCE_PART
+        given_up = self.started + patience - clock.monotonic() - self.prompt.seconds()
+        return min(self.remaining(), given_up) if self.route.aim else self.remaining()
+
     def remaining(self) -> float:
         """Return the seconds left until the final answer must be on its way."""
         return self.deadline - ANSWER_MARGIN - clock.monotonic()
--- a/traystall/passthrough/runner.py
+++ b/traystall/passthrough/runner.py
@@ -99,7 +99,8 @@
         try:
             passed.inputs = await chain.run()
         except StageFailed as error:
-            raise self._refusal(passed, "stage-failed", str(error)) from error
+            code = "busy" if error.retry_after else "stage-failed"
+            raise self._refusal(passed, code, str(error), error.retry_after) from error
         finally:
             passed.stages_seconds = clock.monotonic() - began
 
@@ -208,6 +209,7 @@
         return Failure(FailureKind.FAILED, f"The target answered {head.status}.", answer)
 
     async def _pass_events(self, passed, attempt, sink, chain, view):
+        sent_at = attempt.sent_at
         sink.begin_part(attempt.head)
         async for chunk in attempt.chunks():
             for event in sink.split(chunk):
@@ -215,6 +217,8 @@
                     chain.free()
                     self._context.placing.started(passed)
                     view.on_success(0.0)
+                    found = clock.monotonic() - sent_at
+                    self._context.learn_engine(passed.prompt.seconds(), found)
                 await sink.write(event)
         if attempt.head.until_close and sink.partial:
             raise NoAnswer("The stream ended inside an event.", sent=True)
@@ -232,14 +236,16 @@
         reason = failure.reason if failure else "No target can take it."
         raise self._refusal(passed, "not-served", reason)
 
-    def _refusal(self, passed, code, detail) -> Refusal:
+    def _refusal(self, passed, code, detail, retry_after=None) -> Refusal:
         """Return what may truthfully be said: 503 only for what has not run and never will."""
         if passed.may_have_run:
             status = 504 if code == "too-late" else 502
             passed.outcome = f"failed-{code}"
             return Refusal(status, code, detail)
         passed.outcome = f"refused-{code}"
-        return Refusal(503, code, detail, self._context.random.uniform(*_RETRY_AFTER))
+        if retry_after is None:
+            retry_after = self._context.random.uniform(*_RETRY_AFTER)
+        return Refusal(503, code, detail, retry_after)
 
     def _cut(self, passed, sink, why):
         """End a stream so that it can't be taken for whole."""
--- a/traystall/passthrough/stages.py
+++ b/traystall/passthrough/stages.py
@@ -12,7 +12,14 @@
 
 
 class StageFailed(GatewayError):
-    """Report a stage whose pieces can't all be made in time; the request itself has not run."""
+    """Report a stage whose pieces can't all be made in time; the request itself has not run.
+
+    `retry_after` is set where the request was refused before it began, in seconds.
+    """
+
+    def __init__(self, detail, retry_after=None):
+        self.retry_after = retry_after
+        super().__init__(detail)
 
 
 class StageChain:
@@ -67,20 +74,25 @@
             pieces=list(range(count)),
             key="" if plan.after else passed.piece_key,
             inputs=inputs,
-            seconds_left=passed.remaining(),
+            seconds_left=passed.stage_seconds_left(),
             seconds_to_start=self._seconds_to_start(index),
             priority=passed.priority,
             result_bytes=plan.result_bytes,
             call_id=new_id(),
             data_centre=passed.home,
+            route=passed.route.name,
+            counts=passed.piece_counts,
+            mark=passed.mark,
         )
         began = clock.monotonic()
         reply = await self._context.gatherer.run(request)
-        self._context.learn_stage(plan.pool, clock.monotonic() - began)
+        if all(reply.handles):
+            self._context.learn_stage(plan.pool, clock.monotonic() - began)
         self._handles[index] = [handle for handle in reply.handles if handle]
         if len(self._handles[index]) < count:
             reasons = sorted({reason for reason in reply.reasons if reason})
-            raise StageFailed(f"Stage {index} was not made: {', '.join(reasons)}.")
+            detail = f"Stage {index} was not made: {', '.join(reasons)}."
+            raise StageFailed(detail, reply.retry_after)
         self._free_read(index)
 
     def _delay(self, index) -> float:
@@ -88,25 +100,32 @@
 
         Results that wait for a longer chain beside them take room for nothing.
         """
+        learned = self._context.stage_seconds
         longest = max(
-            (self._seconds_from(i) for i, count in enumerate(self._passed.piece_counts) if count),
+            (
+                self._seconds_from(i, learned)
+                for i, count in enumerate(self._passed.piece_counts)
+                if count
+            ),
             default=0.0,
         )
-        return max(0.0, longest - self._seconds_from(index)) * _DELAY_SHARE
+        return max(0.0, longest - self._seconds_from(index, learned)) * _DELAY_SHARE
 
     def _seconds_to_start(self, index) -> float:
         """Return when this stage should begin so that the request can still be in time."""
         passed = self._passed
         left = passed.started + passed.route.aim - clock.monotonic()
-        return left - self._seconds_from(index) - passed.prompt.seconds()
+        usual = self._context.usual_stage_seconds
+        engine = self._context.engine_seconds(passed.prompt.seconds())
+        return left - self._seconds_from(index, usual) - engine
 
-    def _seconds_from(self, index) -> float:
-        """Return about how long this stage and the longest chain after it take."""
+    def _seconds_from(self, index, seconds_of) -> float:
+        """Return how long this stage and the longest chain after it take by `seconds_of(pool)`."""
         route = self._passed.route
         count = self._passed.piece_counts[index]
-        own = self._context.stage_seconds(route.stages[index].pool) if count else 0.0
+        own = seconds_of(route.stages[index].pool) if count else 0.0
         later = [i for i, stage in enumerate(route.stages) if index in stage.after]
-        return own + max((self._seconds_from(i) for i in later), default=0.0)
+        return own + max((self._seconds_from(i, seconds_of) for i in later), default=0.0)
 
     def _free_read(self, index):
         """Give up the results that only finished stages read."""
--- a/traystall/routes/matching.py
+++ b/traystall/routes/matching.py
@@ -9,6 +9,7 @@
     def __init__(self, table: RoutingTable):
         self.table = table
         self.pools: dict[str, Pool] = {pool.name: pool for pool in table.pools}
+        self._by_name = {route.name: route for route in table.routes}
         self._routes: dict[str, dict[str, Route]] = {}
         for route in table.routes:
             self._routes.setdefault(route.host.lower(), {})[route.path_prefix] = route
@@ -45,6 +46,10 @@
                 return found
             end = slash
 
+    def named(self, name: str) -> Route | None:
+        """Return the route called `name`, or None."""
+        return self._by_name.get(name)
+
     def customer(self, key: str) -> KeyedCustomer | None:
         """Return the customer that holds `key`, or None."""
         return self._holders.get(key)
--- a/traystall/rpc/gen/wire/ttypes.py
+++ b/traystall/rpc/gen/wire/ttypes.py
@@ -2591,6 +2591,7 @@
      - state
      - age
      - leaving
+     - uptime
 
     """
 
@@ -2604,10 +2605,11 @@
         'state',
         'age',
         'leaving',
+        'uptime',
     )
 
 
-    def __init__(self, identity=None, instance=None, data_centre=None, address=None, rpc_address=None, number=None, state=None, age=None, leaving=None,):
+    def __init__(self, identity=None, instance=None, data_centre=None, address=None, rpc_address=None, number=None, state=None, age=None, leaving=None, uptime=None,):
         self.identity = identity
         self.instance = instance
         self.data_centre = data_centre
@@ -2617,6 +2619,7 @@
         self.state = state
         self.age = age
         self.leaving = leaving
+        self.uptime = uptime
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2677,6 +2680,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.DOUBLE:
+                    self.uptime = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2726,6 +2734,10 @@
                 oprot.writeString(iter45.encode('utf-8') if sys.version_info[0] == 2 else iter45)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.uptime is not None:
+            oprot.writeFieldBegin('uptime', TType.DOUBLE, 10)
+            oprot.writeDouble(self.uptime)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5090,6 +5102,9 @@
      - call_id
      - seconds_to_start
      - data_centre
+     - route
+     - counts
+     - mark
 
     """
 
@@ -5106,10 +5121,13 @@
         'call_id',
         'seconds_to_start',
         'data_centre',
+        'route',
+        'counts',
+        'mark',
     )
 
 
-    def __init__(self, pool=None, request_id=None, stage=None, pieces=None, key=None, inputs=None, seconds_left=None, priority=None, result_bytes=None, call_id=None, seconds_to_start=None, data_centre=None,):
+    def __init__(self, pool=None, request_id=None, stage=None, pieces=None, key=None, inputs=None, seconds_left=None, priority=None, result_bytes=None, call_id=None, seconds_to_start=None, data_centre=None, route=None, counts=None, mark=None,):
         self.pool = pool
         self.request_id = request_id
         self.stage = stage
@@ -5122,6 +5140,9 @@
         self.call_id = call_id
         self.seconds_to_start = seconds_to_start
         self.data_centre = data_centre
+        self.route = route
+        self.counts = counts
+        self.mark = mark
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5202,6 +5223,26 @@
                     self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.counts = []
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = iprot.readI32()
+                        self.counts.append(_elem158)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRING:
+                    self.mark = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5227,8 +5268,8 @@
         if self.pieces is not None:
             oprot.writeFieldBegin('pieces', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.pieces))
-            for iter153 in self.pieces:
-                oprot.writeI32(iter153)
+            for iter159 in self.pieces:
+                oprot.writeI32(iter159)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.key is not None:
@@ -5238,8 +5279,8 @@
         if self.inputs is not None:
             oprot.writeFieldBegin('inputs', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.inputs))
-            for iter154 in self.inputs:
-                oprot.writeString(iter154.encode('utf-8') if sys.version_info[0] == 2 else iter154)
+            for iter160 in self.inputs:
+                oprot.writeString(iter160.encode('utf-8') if sys.version_info[0] == 2 else iter160)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.seconds_left is not None:
@@ -5266,6 +5307,21 @@
             oprot.writeFieldBegin('data_centre', TType.STRING, 12)
             oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
             oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 13)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.LIST, 14)
+            oprot.writeListBegin(TType.I32, len(self.counts))
+            for iter161 in self.counts:
+                oprot.writeI32(iter161)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.mark is not None:
+            oprot.writeFieldBegin('mark', TType.STRING, 15)
+            oprot.writeString(self.mark.encode('utf-8') if sys.version_info[0] == 2 else self.mark)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5296,18 +5352,21 @@
     Attributes:
      - handles
      - reasons
+     - retry_after
 
     """
 
     __slots__ = (
         'handles',
         'reasons',
+        'retry_after',
     )
 
 
-    def __init__(self, handles=None, reasons=None,):
+    def __init__(self, handles=None, reasons=None, retry_after=None,):
         self.handles = handles
         self.reasons = reasons
+        self.retry_after = retry_after
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5321,23 +5380,28 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.handles = []
-                    (_etype158, _size155) = iprot.readListBegin()
-                    for _i159 in range(_size155):
-                        _elem160 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.handles.append(_elem160)
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.handles.append(_elem167)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.reasons = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.reasons.append(_elem166)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.reasons.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.retry_after = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5351,17 +5415,21 @@
         if self.handles is not None:
             oprot.writeFieldBegin('handles', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.handles))
-            for iter167 in self.handles:
-                oprot.writeString(iter167.encode('utf-8') if sys.version_info[0] == 2 else iter167)
+            for iter174 in self.handles:
+                oprot.writeString(iter174.encode('utf-8') if sys.version_info[0] == 2 else iter174)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reasons is not None:
             oprot.writeFieldBegin('reasons', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.reasons))
-            for iter168 in self.reasons:
-                oprot.writeString(iter168.encode('utf-8') if sys.version_info[0] == 2 else iter168)
+            for iter175 in self.reasons:
+                oprot.writeString(iter175.encode('utf-8') if sys.version_info[0] == 2 else iter175)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.retry_after is not None:
+            oprot.writeFieldBegin('retry_after', TType.DOUBLE, 3)
+            oprot.writeDouble(self.retry_after)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5391,16 +5459,19 @@
     """
     Attributes:
      - call_id
+     - request_id
 
     """
 
     __slots__ = (
         'call_id',
+        'request_id',
     )
 
 
-    def __init__(self, call_id=None,):
+    def __init__(self, call_id=None, request_id=None,):
         self.call_id = call_id
+        self.request_id = request_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5416,6 +5487,11 @@
                     self.call_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5430,6 +5506,10 @@
             oprot.writeFieldBegin('call_id', TType.STRING, 1)
             oprot.writeString(self.call_id.encode('utf-8') if sys.version_info[0] == 2 else self.call_id)
             oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 2)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5490,10 +5570,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.handles = []
-                    (_etype172, _size169) = iprot.readListBegin()
-                    for _i173 in range(_size169):
-                        _elem174 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.handles.append(_elem174)
+                    (_etype179, _size176) = iprot.readListBegin()
+                    for _i180 in range(_size176):
+                        _elem181 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.handles.append(_elem181)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5514,8 +5594,8 @@
         if self.handles is not None:
             oprot.writeFieldBegin('handles', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.handles))
-            for iter175 in self.handles:
-                oprot.writeString(iter175.encode('utf-8') if sys.version_info[0] == 2 else iter175)
+            for iter182 in self.handles:
+                oprot.writeString(iter182.encode('utf-8') if sys.version_info[0] == 2 else iter182)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5604,20 +5684,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype179, _size176) = iprot.readListBegin()
-                    for _i180 in range(_size176):
-                        _elem181 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.parts.append(_elem181)
+                    (_etype186, _size183) = iprot.readListBegin()
+                    for _i187 in range(_size183):
+                        _elem188 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.append(_elem188)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.sizes = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = iprot.readI64()
-                        self.sizes.append(_elem187)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = iprot.readI64()
+                        self.sizes.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5639,10 +5719,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype191, _size188) = iprot.readListBegin()
-                    for _i192 in range(_size188):
-                        _elem193 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem193)
+                    (_etype198, _size195) = iprot.readListBegin()
+                    for _i199 in range(_size195):
+                        _elem200 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem200)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5672,15 +5752,15 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iter194 in self.parts:
-                oprot.writeString(iter194.encode('utf-8') if sys.version_info[0] == 2 else iter194)
+            for iter201 in self.parts:
+                oprot.writeString(iter201.encode('utf-8') if sys.version_info[0] == 2 else iter201)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sizes is not None:
             oprot.writeFieldBegin('sizes', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.sizes))
-            for iter195 in self.sizes:
-                oprot.writeI64(iter195)
+            for iter202 in self.sizes:
+                oprot.writeI64(iter202)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tokens is not None:
@@ -5698,8 +5778,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter196 in self.excluded:
-                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
+            for iter203 in self.excluded:
+                oprot.writeString(iter203.encode('utf-8') if sys.version_info[0] == 2 else iter203)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.book is not None:
@@ -6131,11 +6211,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype200, _size197) = iprot.readListBegin()
-                    for _i201 in range(_size197):
-                        _elem202 = Member()
-                        _elem202.read(iprot)
-                        self.members.append(_elem202)
+                    (_etype207, _size204) = iprot.readListBegin()
+                    for _i208 in range(_size204):
+                        _elem209 = Member()
+                        _elem209.read(iprot)
+                        self.members.append(_elem209)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6156,8 +6236,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter203 in self.members:
-                iter203.write(oprot)
+            for iter210 in self.members:
+                iter210.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6296,11 +6376,11 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.entities = {}
-                    (_ktype205, _vtype206, _size204) = iprot.readMapBegin()
-                    for _i208 in range(_size204):
-                        _key209 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val210 = iprot.readBinary()
-                        self.entities[_key209] = _val210
+                    (_ktype212, _vtype213, _size211) = iprot.readMapBegin()
+                    for _i215 in range(_size211):
+                        _key216 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val217 = iprot.readBinary()
+                        self.entities[_key216] = _val217
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -6325,9 +6405,9 @@
         if self.entities is not None:
             oprot.writeFieldBegin('entities', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.entities))
-            for kiter211, viter212 in self.entities.items():
-                oprot.writeString(kiter211.encode('utf-8') if sys.version_info[0] == 2 else kiter211)
-                oprot.writeBinary(viter212)
+            for kiter218, viter219 in self.entities.items():
+                oprot.writeString(kiter218.encode('utf-8') if sys.version_info[0] == 2 else kiter218)
+                oprot.writeBinary(viter219)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6582,6 +6662,7 @@
     (7, TType.STRING, 'state', 'UTF8', None, ),  # 7
     (8, TType.DOUBLE, 'age', None, None, ),  # 8
     (9, TType.LIST, 'leaving', (TType.STRING, 'UTF8', False), None, ),  # 9
+    (10, TType.DOUBLE, 'uptime', None, None, ),  # 10
 )
 all_structs.append(WatchRequest)
 WatchRequest.thrift_spec = (
@@ -6768,17 +6849,22 @@
     (10, TType.STRING, 'call_id', 'UTF8', None, ),  # 10
     (11, TType.DOUBLE, 'seconds_to_start', None, None, ),  # 11
     (12, TType.STRING, 'data_centre', 'UTF8', None, ),  # 12
+    (13, TType.STRING, 'route', 'UTF8', None, ),  # 13
+    (14, TType.LIST, 'counts', (TType.I32, None, False), None, ),  # 14
+    (15, TType.STRING, 'mark', 'UTF8', None, ),  # 15
 )
 all_structs.append(StageReply)
 StageReply.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'handles', (TType.STRING, 'UTF8', False), None, ),  # 1
     (2, TType.LIST, 'reasons', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.DOUBLE, 'retry_after', None, None, ),  # 3
 )
 all_structs.append(StageCancel)
 StageCancel.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
 )
 all_structs.append(StageFreed)
 StageFreed.thrift_spec = (
--- a/traystall/rpc/records.py
+++ b/traystall/rpc/records.py
@@ -17,6 +17,7 @@
         seen_at=seen_at,
         direct=direct,
         leaving=tuple(record.leaving or ()),
+        started_at=seen_at - (record.uptime or 0.0),
     )
 
 
@@ -32,6 +33,7 @@
         state=row.state,
         age=now - row.seen_at,
         leaving=list(row.leaving),
+        uptime=row.seen_at - row.started_at,
     )
 
 
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -115,6 +115,8 @@
   5: string rpc_address, 6: i64 number, 7: string state, 8: double age
   // Targets that this gateway knows to be leaving, as name@incarnation.
   9: list<string> leaving
+  // Seconds since it started.
+  10: double uptime
 }
 struct WatchRequest { 1: GatewayRecord gateway, 2: binary digest, 3: i64 directory_version }
 struct WatchReply {
@@ -179,9 +181,11 @@
   9: i64 result_bytes, 10: string call_id, 11: double seconds_to_start
   // Where the results will be read.
   12: string data_centre
+  // What the request will ask for in all, and what is the same when its caller tries again.
+  13: string route, 14: list<i32> counts, 15: string mark
 }
-struct StageReply { 1: list<string> handles, 2: list<string> reasons }
-struct StageCancel { 1: string call_id }
+struct StageReply { 1: list<string> handles, 2: list<string> reasons, 3: double retry_after }
+struct StageCancel { 1: string call_id, 2: string request_id }
 // Results that were given up, told to the gateway that counts the room of their makers.
 struct StageFreed { 1: string pool, 2: list<string> handles }
 // An engine for a prompt, chosen by one gateway for all; what became of it.
--- a/traystall/tables/gateways.py
+++ b/traystall/tables/gateways.py
@@ -20,6 +20,8 @@
     direct: bool
     # Targets that it knows to be leaving, as name@incarnation.
     leaving: tuple[str, ...] = ()
+    # When it started, in monotonic seconds of this process.
+    started_at: float = float("-inf")
 
 
 class GatewayTable:
