--- a/tests/passthrough/test_decisions.py
+++ b/tests/passthrough/test_decisions.py
@@ -6,7 +6,7 @@
 import pytest
 
 from traystall.passthrough.batching import PieceJob, take_batch
-from traystall.passthrough.board import TargetBoard, rendezvous_order
+from traystall.passthrough.board import TargetBoard
 from traystall.passthrough.budget import BudgetRule, RepeatBudget
 from traystall.passthrough.choice import Prompt, choose_target, parse_prompt
 from traystall.passthrough.makers import SLOW_RATIO, Maker
@@ -16,6 +16,7 @@
     Placement,
     PromptPart,
 )
+from traystall.passthrough.rendezvous import rendezvous_order
 from traystall.passthrough.room import RoomBook
 from traystall.registry.models import RegisteredState, TargetReport
 from traystall.routes.models import BatchProfile
@@ -136,6 +137,14 @@
     assert placer.place(prompt("c", shared="other"), ENGINES, 2.0) != first
 
 
+def test_another_placer_finds_what_the_first_has_placed():
+    names = [f"shared {i}" for i in range(60)]
+    first, second = EnginePlacer(), EnginePlacer()
+    placed = [first.place(prompt(n, shared=n), ENGINES, i * 0.4) for i, n in enumerate(names)]
+    again = [second.place(prompt(n, shared=n), ENGINES, i * 0.4) for i, n in enumerate(names)]
+    assert sum(a == b for a, b in zip(placed, again, strict=True)) > 50
+
+
 def test_busy_engine_is_left_for_an_idle_one():
     placer = EnginePlacer()
     first = placer.place(prompt("a"), ENGINES, 0.0)
--- a/traystall/passthrough/board.py
+++ b/traystall/passthrough/board.py
@@ -1,7 +1,6 @@
 """Targets as one gateway sees them: what they report, what it has running there, how they do."""
 
 import msgspec
-import xxhash
 
 from traystall.passthrough.pool import ConnectionPool
 from traystall.registry.models import RegisteredState, TargetReport
@@ -147,8 +146,3 @@
         self._pools = pools
         for callback in self.on_change:
             callback()
-
-
-def rendezvous_order(key: str, names: list[str]) -> list[str]:
-    """Return `names` in the order in which `key` prefers them; the same at every gateway."""
-    return sorted(names, key=lambda name: xxhash.xxh64_intdigest(f"{key}\0{name}".encode()))
--- a/traystall/passthrough/owners.py
+++ b/traystall/passthrough/owners.py
@@ -9,7 +9,7 @@
 
 from traystall.core import clock
 from traystall.core.exceptions import RpcRefused
-from traystall.passthrough.board import rendezvous_order
+from traystall.passthrough.rendezvous import rendezvous_order
 from traystall.tables.gateways import GatewayRow
 
 # One gateway gathers for all pools: it then knows what a request will ask of each.
--- a/traystall/passthrough/placement.py
+++ b/traystall/passthrough/placement.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from traystall.passthrough.rendezvous import rendezvous_order
+
 # Engines read about so many prompt tokens a second.
 READ_TOKENS_PER_SECOND = 60_000.0
 # Reading a shared part again costs more than its time: others wait behind it, and it is priced.
@@ -17,6 +19,9 @@
 _RUNNING_SECONDS = 0.003
 # Moving a megabyte of inputs between data centres counts as much as so many seconds.
 _SECONDS_PER_MEGABYTE = 0.012
+# A prompt whose shared part is kept nowhere goes to the engine that the part's name prefers,
+# unless it waits there so much longer: another placer then finds it there too.
+_ELSEWHERE_SECONDS = 0.06
 # The part of an engine's memory that kept parts are taken to fill.
 _KEPT_SHARE = 0.7
 # A placement whose end nobody has told is forgotten after this long.
@@ -43,6 +48,10 @@
     data_centre: str = ""
     input_bytes: int = 0
 
+    def shared_part(self) -> str:
+        """Return the name of the last part that other requests may share, or an empty text."""
+        return self.parts[-2].name if len(self.parts) > 1 else ""
+
 
 class EngineChoice(msgspec.Struct, frozen=True):
     """Offer one engine: where it is, its memory, and how slow it is beside the others."""
@@ -95,11 +104,18 @@
     def __init__(self):
         self._engines: dict[str, _Engine] = {}
         self._placed: dict[str, str] = {}
+        # The engine that the shared part now in question prefers, whoever places it.
+        self._first = ""
 
     def likely(self, placement: Placement, choices: list[EngineChoice], now: float) -> str:
         """Return the engine that would get a prompt now, or an empty text."""
         if not choices:
             return ""
+        shared = placement.shared_part()
+        self._first = ""
+        if shared:
+            names = [choice.identity for choice in choices]
+            self._first = rendezvous_order(shared, names)[0]
         return min(choices, key=lambda c: (self._cost(placement, c, now), c.identity)).identity
 
     def place(self, placement: Placement, choices: list[EngineChoice], now: float) -> str:
@@ -149,12 +165,17 @@
     def _engine(self, identity) -> _Engine:
         return self._engines.setdefault(identity, _Engine())
 
+    def _is_first_for(self, placement, choice):
+        return not placement.shared_part() or choice.identity == self._first
+
     def _cost(self, placement, choice, now):
         engine = self._engine(choice.identity)
         unread = engine.unread(placement) / READ_TOKENS_PER_SECOND
         cost = max(0.0, engine.read_until - now)
         cost += unread * choice.ratio * _READ_AGAIN_WEIGHT
         cost += len(engine.running) * _RUNNING_SECONDS
+        if unread and not self._is_first_for(placement, choice):
+            cost += _ELSEWHERE_SECONDS
         if placement.data_centre and choice.data_centre != placement.data_centre:
             cost += placement.input_bytes / 1e6 * _SECONDS_PER_MEGABYTE
         return cost
