Let requests that come back in behind all others

Cause: a request refused twice costs a third of its worth and is never served; long prompts, whose slack is below zero, were refused always. Ruled out: a longer limit for returning requests (0.25 of the aim): they pushed fresh ones past their aims.

--- a/tests/cli/test_reference.py
+++ b/tests/cli/test_reference.py
@@ -11,8 +11,10 @@
 # Each package may import those below it in this list, and itself.
 LAYERS = (
     "cli",
+    "passthrough",
     "gateway",
     "control",
+    "registry",
     "systems",
     "rpc",
     "storage",
@@ -20,6 +22,7 @@
     "catalog",
     "consensus",
     "tables",
+    "routes",
     "conf",
     "core",
 )
--- a/tests/passthrough/test_admission.py
+++ b/tests/passthrough/test_admission.py
@@ -44,14 +44,25 @@
     assert book.admit(arrival("a"), lambda pool, priority: 10**6, RATES, 1.0).admitted
 
 
-def test_request_that_came_back_is_let_in_nearer_to_its_aim():
+def test_request_that_came_back_is_let_in_behind_all_others():
     def waiting(pool, priority):
         return 20 if pool == "p" else 0
 
     book = AdmissionBook()
     assert not book.admit(arrival("a", mark="m"), waiting, RATES, 0.0).admitted
-    assert book.admit(arrival("b", mark="m"), waiting, RATES, 1.0).admitted
+    again = book.admit(arrival("b", mark="m"), waiting, RATES, 1.0)
+    assert again.admitted and again.background
+    assert book.to_come("q", 1) == 0, "background work does not keep others out"
+    assert book.admit(arrival("b", mark="m"), waiting, RATES, 1.5).background
     assert not book.admit(arrival("c", mark="n"), waiting, RATES, 1.0).admitted
+    assert not book.admit(arrival("d", mark="o"), nothing, RATES, 1.0).background
+
+
+def test_long_prompt_without_slack_is_let_in_while_others_are():
+    def waiting(pool, priority):
+        return 6 if pool == "p" else 0
+
+    assert AdmissionBook().admit(arrival("a", slack=-0.4), waiting, RATES, 0.0).admitted
 
 
 def test_finished_ended_and_lost_requests_no_longer_count():
--- a/traystall/cli/reference.py
+++ b/traystall/cli/reference.py
@@ -15,6 +15,7 @@
 from traystall.control.settings import SETTINGS as CONTROL_SETTINGS
 from traystall.gateway import problems
 from traystall.gateway.settings import SETTINGS as GATEWAY_SETTINGS
+from traystall.passthrough.settings import SETTINGS as PASS_SETTINGS
 from traystall.tables.entities import ENTITY_TYPES
 
 _HEADER = "<!-- Made by python -m traystall.cli.reference; a test compares it. -->\n\n"
@@ -23,7 +24,11 @@
 def settings_page() -> str:
     """Return the reference of both daemons' settings."""
     lines = ["# Settings", ""]
-    programs = {"traystall-control": CONTROL_SETTINGS, "traystall-gateway": GATEWAY_SETTINGS}
+    programs = {
+        "traystall-control": CONTROL_SETTINGS,
+        "traystall-gateway": GATEWAY_SETTINGS,
+        "pass-through gateway": PASS_SETTINGS,
+    }
     for program, declared in programs.items():
         lines += [
             f"## {program}",
--- a/traystall/passthrough/admission.py
+++ b/traystall/passthrough/admission.py
@@ -3,7 +3,9 @@
 The gateway that gathers the pieces of all pools knows what waits in each and
 what the requests that have begun will still ask of it. A request that could not
 be in time is refused at once, while that is worth something to its caller;
-those that have begun go through, because what they hold would be lost.
+those that have begun go through, because what they hold would be lost. One that
+comes back and still finds no room is let in behind all others: it is served when
+the rush is over, rather than sent away for good.
 """
 
 import msgspec
@@ -13,9 +15,11 @@
 
 # A request must be expected this part of its aim before it is late: a forecast errs both ways.
 _MARGIN_PART = 0.15
-# One that came back is let in nearer to its aim: to be refused again is worth least.
-_RETURN_PART = 0.25
-_MIN_RETRY = 0.25
+# Every request may wait this part of its aim: long prompts would else never be let in.
+_LEAST_PART = 0.25
+_MIN_RETRY = 0.4
+# While others keep coming a queue empties so many times slower than it is served.
+_RETRY_FACTOR = 4.0
 # Callers wait up to a third of the time they have left; a little less reaches them surely.
 _RETRY_PART = 0.3
 # A request that was refused is known again this long.
@@ -60,12 +64,14 @@
     admitted: bool
     wait: float
     retry_after: float = 0.0
+    background: bool = False
 
 
 class _Chain(msgspec.Struct):
     arrival: Arrival
     since: float
     wait: float
+    background: bool
     asked: set[int] = msgspec.field(default_factory=set)
     done: set[int] = msgspec.field(default_factory=set)
 
@@ -86,18 +92,21 @@
         `waiting(pool, priority)` returns the pieces that wait there and go before
         work of a priority, `rates` how many pieces a second each pool makes.
         """
-        if arrival.request_id in self._chains:
-            return Verdict(True, 0.0)
+        begun = self._chains.get(arrival.request_id)
+        if begun is not None:
+            return Verdict(True, 0.0, background=begun.background)
         self._forget(now)
         raw_wait = self._longest_wait(arrival, waiting, rates, now)
         wait = raw_wait * self.scale
-        if wait > self._limit(arrival):
+        background = wait > _limit(arrival)
+        if background and arrival.mark not in self._refused:
             self._refused[arrival.mark] = now
             return Verdict(False, wait, _retry_after(arrival, wait))
-        self._chains[arrival.request_id] = _Chain(arrival, now, raw_wait)
-        for pool, count in arrival.demand().items():
-            self._forecast(pool).note(arrival.priority, count, now)
-        return Verdict(True, wait)
+        self._chains[arrival.request_id] = _Chain(arrival, now, raw_wait, background)
+        if not background:
+            for pool, count in arrival.demand().items():
+                self._forecast(pool).note(arrival.priority, count, now)
+        return Verdict(True, wait, background=background)
 
     def asked(self, request_id: str, stage: int) -> None:
         """Note that the pieces of a stage were asked for: they now wait in their queue."""
@@ -118,7 +127,7 @@
             return
         del self._chains[request_id]
         waited = now - chain.since - usual_seconds
-        if chain.wait > _SHORT_WAIT:
+        if chain.wait > _SHORT_WAIT and not chain.background:
             found = max(0.0, waited) / chain.wait
             self.scale += _LEARNING * (found - self.scale)
             self.scale = min(_MAX_SCALE, max(_MIN_SCALE, self.scale))
@@ -132,7 +141,7 @@
         return sum(
             chain.arrival.demand(frozenset(chain.asked)).get(pool, 0)
             for chain in self._chains.values()
-            if chain.arrival.priority <= priority
+            if chain.arrival.priority <= priority and not chain.background
         )
 
     def _longest_wait(self, arrival, waiting, rates, now):
@@ -144,14 +153,6 @@
             waits.append(forecast.seconds(arrival.priority, ahead, rate, now))
         return max(waits)
 
-    def _limit(self, arrival):
-        """Return the longest wait with which a request is let in."""
-        aim = arrival.route.aim
-        usual = max(_SHORT_WAIT, arrival.slack - aim * _MARGIN_PART)
-        if arrival.mark and arrival.mark in self._refused:
-            return usual + aim * _RETURN_PART
-        return usual
-
     def _forecast(self, pool) -> WaitForecast:
         return self._forecasts.setdefault(pool, WaitForecast())
 
@@ -164,6 +165,12 @@
                 del self._refused[mark]
 
 
+def _limit(arrival):
+    """Return the longest wait with which a request is let in."""
+    aim = arrival.route.aim
+    return max(aim * _LEAST_PART, arrival.slack - aim * _MARGIN_PART)
+
+
 def _retry_after(arrival, wait):
-    wanted = wait - max(0.0, arrival.slack)
+    wanted = (wait - _limit(arrival)) * _RETRY_FACTOR
     return max(_MIN_RETRY, min(wanted, arrival.seconds_left * _RETRY_PART))
--- a/traystall/passthrough/batching.py
+++ b/traystall/passthrough/batching.py
@@ -4,6 +4,8 @@
 
 from traystall.routes.models import BatchProfile
 
+# Added to the priority of work that is done only when nothing else waits.
+BACKGROUND = 100
 # A piece that should have begun this long ago is no longer likely to be in time.
 _LOST_SECONDS = 0.25
 # A piece goes to a target outside the data centre where its result is read only when it has
@@ -35,12 +37,24 @@
 def order_key(job: PieceJob, now: float) -> tuple:
     """Return what to sort by: requests that have begun, then urgency, then time left.
 
+    Background work comes after all other.
+
     What a request that has begun holds takes room, so it goes on even if it is
     late; of the others those that can still be in time go first.
     """
     begun = bool(job.inputs)
     lost = not begun and job.due < now - _LOST_SECONDS
-    return (not begun, job.priority, lost, job.due, job.request_id, job.stage, job.piece)
+    background = job.priority >= BACKGROUND
+    return (
+        background,
+        not begun,
+        job.priority,
+        lost,
+        job.due,
+        job.request_id,
+        job.stage,
+        job.piece,
+    )
 
 
 def may_go(job: PieceJob, data_centre: str, crowded: bool, now: float) -> bool:
--- a/traystall/passthrough/gatherer.py
+++ b/traystall/passthrough/gatherer.py
@@ -13,6 +13,7 @@
 from traystall.core.logs import decision
 from traystall.passthrough.admission import AdmissionBook, Arrival, Verdict
 from traystall.passthrough.attempt import Attempt
+from traystall.passthrough.batching import BACKGROUND
 from traystall.passthrough.context import PassContext
 from traystall.passthrough.exceptions import ExchangeError
 from traystall.passthrough.owners import GATHERING_KEY
@@ -36,6 +37,8 @@
 # Results to be given up are collected this long, in seconds.
 _FREE_SECONDS = 0.01
 _FREE_TIMEOUT = 1.0
+# The part of the time left in which a stage of a background request has to be made.
+_BACKGROUND_PART = 0.6
 
 logger = logging.getLogger(__name__)
 
@@ -77,6 +80,9 @@
                 handles=[], reasons=[BUSY] * len(request.pieces), retry_after=verdict.retry_after
             )
         self._book.asked(request.request_id, request.stage)
+        if verdict.background:
+            request.priority = (request.priority or 0) + BACKGROUND
+            request.seconds_left = (request.seconds_left or 0.0) * _BACKGROUND_PART
         reply = await self._queue(request.pool).run(request)
         if all(reply.handles):
             now = clock.monotonic()
