--- a/tests/passthrough/test_decisions.py
+++ b/tests/passthrough/test_decisions.py
@@ -16,6 +16,7 @@
     Placement,
     PromptPart,
 )
+from traystall.passthrough.places import DataCentreWatch
 from traystall.passthrough.rendezvous import rendezvous_order
 from traystall.passthrough.room import RoomBook
 from traystall.registry.models import RegisteredState, TargetReport
@@ -95,7 +96,7 @@
 
 
 def board(count=4, pool="p"):
-    made = TargetBoard(random.Random(1), lambda pool: 10)
+    made = TargetBoard(random.Random(1), lambda pool: 10, DataCentreWatch("here"))
     for i in range(count):
         made.merge(TargetReport(f"t{i}", pool, f"10.0.0.{i}:80", "here", slots=4), 0.0)
     return made
--- a/tests/passthrough/test_owners.py
+++ b/tests/passthrough/test_owners.py
@@ -5,6 +5,7 @@
 from traystall.core import clock
 from traystall.core.exceptions import RpcRefused, RpcTimeout
 from traystall.passthrough.owners import LEAVING, Owners, rank
+from traystall.passthrough.places import DataCentreWatch
 from traystall.tables.gateways import GatewayRow
 
 
@@ -18,6 +19,7 @@
     def __init__(self, identity, directory):
         self.identity = identity
         self.follower = self
+        self.places = DataCentreWatch("elsewhere")
         self.directory = directory
 
 
@@ -88,3 +90,16 @@
     directory = [row(name, started_at=now.time) for name in "abc"]
     context = Context("a/1", directory)
     assert owner_of(Owners(context), context) in {"a/1", "b/1", "c/1"}
+
+
+def test_silent_gateways_put_their_data_centre_out(now):
+    directory, all_owners = make()
+    owners, context = all_owners[0]
+    context.places = DataCentreWatch("here too")
+    order = rank(directory, "k", now.time)
+    for identity in order[:2]:
+        owner_of(owners, context)
+        owners.on_error(identity, RpcTimeout("silent"))
+    assert owner_of(owners, context) == context.identity
+    context.places.on_heard("here")
+    assert owner_of(owners, context) in order[2:]
--- a/traystall/passthrough/attempt.py
+++ b/traystall/passthrough/attempt.py
@@ -88,12 +88,20 @@
         self._whole = True
         return Answer(head, body)
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it comes."""
-        while chunk := await self._connection.chunk():
+    async def chunks(self, longest_pause: float | None = None) -> AsyncIterator[bytes]:
+        """Yield the body as it comes; raise NoAnswer after a pause of `longest_pause` seconds."""
+        while chunk := await self._next_chunk(longest_pause):
             yield chunk
         self._whole = True
 
+    async def _next_chunk(self, longest_pause):
+        if longest_pause is None:
+            return await self._connection.chunk()
+        try:
+            return await before(clock.monotonic() + longest_pause, self._connection.chunk())
+        except TimeoutError:
+            raise NoAnswer("The stream has stalled.", sent=True) from None
+
     def has_not_run(self) -> bool:
         """Return whether the target says that it has not run the request."""
         head = self.head
--- a/traystall/passthrough/board.py
+++ b/traystall/passthrough/board.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from traystall.passthrough.exceptions import ExchangeError
+from traystall.passthrough.places import DataCentreWatch
 from traystall.passthrough.pool import ConnectionPool
 from traystall.registry.models import RegisteredState, TargetReport
 from traystall.registry.table import Registry
@@ -65,8 +67,9 @@
 class TargetBoard:
     """Hold the targets of all pools, fed by the registry."""
 
-    def __init__(self, random, max_connections):
+    def __init__(self, random, max_connections, places: DataCentreWatch):
         self.registry = Registry()
+        self.places = places
         self._random = random
         self._max_connections = max_connections
         self._views: dict[str, TargetView] = {}
@@ -110,14 +113,24 @@
         """Return the targets of a pool to which work may go now, doubtful ones only if all are."""
         ready = [view for view in self.pool(name) if not view.is_misplaced]
         sound = [view for view in ready if now >= view.avoid_until]
-        heard = [view for view in sound if not self._is_silent(view, registry_heard_at)]
-        return heard or sound or ready
+        near = [view for view in sound if not self.places.is_out(view.report.data_centre, now)]
+        heard = [view for view in near if not self._is_silent(view, registry_heard_at)]
+        return heard or near or sound or ready
 
     def mean_seconds(self, name: str) -> float:
         """Return the middle of what the targets of a pool take, 0 if nothing is known."""
         known = sorted(view.mean_seconds for view in self.pool(name) if view.mean_seconds)
         return known[len(known) // 2] if known else 0.0
 
+    def on_exchange_error(self, view: TargetView, error: ExchangeError, now: float) -> None:
+        """Learn from an attempt that failed on its way."""
+        if error.silent:
+            self.places.on_silent(view.report.data_centre, view.identity, now)
+        if error.silent or not error.sent:
+            view.on_unreachable(now, self._random)
+        else:
+            view.on_failure(now, self._random)
+
     def close(self) -> None:
         """Close every connection."""
         for view in self._views.values():
--- a/traystall/passthrough/connection.py
+++ b/traystall/passthrough/connection.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+import errno
 from collections import deque
 
 import httptools
 import msgspec
 
+from traystall.core.sockets import notice_silence
 from traystall.passthrough.exceptions import ConnectFailed, ConnectionBroken, NoAnswer
 
 # Reading stops while this many bytes of an answer wait for whoever reads it.
@@ -132,6 +134,7 @@
     def connection_made(self, transport):
         """Keep the transport."""
         self.transport = transport
+        notice_silence(transport)
 
     def data_received(self, data):
         """Parse what came; bytes that nobody asked for spoil the connection."""
@@ -155,7 +158,10 @@
         if whole:
             self._in_message = False
             self._put(_END)
-        self._fail(ConnectionBroken(f"The connection ended: {exc or 'closed'}.", sent=True))
+        silent = isinstance(exc, OSError) and exc.errno == errno.ETIMEDOUT
+        self._fail(
+            ConnectionBroken(f"The connection ended: {exc or 'closed'}.", sent=True, silent=silent)
+        )
 
     # ---- httptools ----
 
@@ -232,6 +238,8 @@
     try:
         async with asyncio.timeout(timeout):
             _, connection = await loop.create_connection(TargetConnection, host, int(port))
-    except (OSError, TimeoutError, ValueError) as error:
-        raise ConnectFailed(f"{address} cannot be reached: {error or 'no answer'}.") from error
+    except TimeoutError as error:
+        raise ConnectFailed(f"{address} does not answer.", silent=True) from error
+    except (OSError, ValueError) as error:
+        raise ConnectFailed(f"{address} cannot be reached: {error}.") from error
     return connection
--- a/traystall/passthrough/context.py
+++ b/traystall/passthrough/context.py
@@ -8,6 +8,7 @@
 from traystall.passthrough.budget import BudgetRule, RepeatBudget
 from traystall.passthrough.dialect import HeaderNames, StageDialect
 from traystall.passthrough.owners import GATHERING_KEY, Owners
+from traystall.passthrough.places import DataCentreWatch
 from traystall.registry.follower import RegistryFollower
 from traystall.routes.matching import RouteIndex
 
@@ -35,7 +36,8 @@
         self.names = names
         self.stage_dialect = stage_dialect
         self.random = random_module.Random()
-        self.board = TargetBoard(self.random, self.max_connections)
+        self.places = DataCentreWatch(data_centre)
+        self.board = TargetBoard(self.random, self.max_connections, self.places)
         self.follower: ConfigurationFollower | None = None
         self.registry: RegistryFollower | None = None
         self.owners = Owners(self)
--- a/traystall/passthrough/exceptions.py
+++ b/traystall/passthrough/exceptions.py
@@ -6,20 +6,22 @@
 class ExchangeError(GatewayError):
     """Be the base of what goes wrong on a connection to a target.
 
-    `sent` says whether a byte of the request may have left this process.
+    `sent` says whether a byte of the request may have left this process, `silent`
+    whether the target said nothing at all, as one behind a cut does.
     """
 
-    def __init__(self, reason: str, sent: bool):
+    def __init__(self, reason: str, sent: bool, silent: bool = False):
         self.reason = reason
         self.sent = sent
+        self.silent = silent
         super().__init__(reason)
 
 
 class ConnectFailed(ExchangeError):
     """Report that no connection came up: nothing was sent."""
 
-    def __init__(self, reason: str):
-        super().__init__(reason, sent=False)
+    def __init__(self, reason: str, silent: bool = False):
+        super().__init__(reason, sent=False, silent=silent)
 
 
 class ConnectionBroken(ExchangeError):
--- a/traystall/passthrough/gatherer.py
+++ b/traystall/passthrough/gatherer.py
@@ -31,6 +31,8 @@
 
 # The reason of pieces of a request that was refused before it began.
 BUSY = "busy"
+# So many gatherers are asked in turn before a gateway calls the targets itself.
+_MAX_GATHERERS = 3
 # While a gatherer holds pieces it is asked this often, in seconds, whether it is there.
 _PING_SECONDS = 0.15
 _PING_TIMEOUT = 0.15
@@ -56,22 +58,27 @@
 
     async def run(self, request: StageRequest) -> StageReply:
         """Return the handles of all pieces of one stage, or why there are none."""
-        owner = self._owner()
-        if owner is None:
-            return await self.run_here(request)
-        try:
-            return await self._run_at(owner, request)
-        except RpcError as error:
-            self._context.owners.on_error(owner.identity, error)
-            decision(
-                "gather-here",
-                request=request.request_id,
-                stage=request.stage,
-                gatherer=owner.identity,
-                why=str(error),
-            )
+        for _ in range(_MAX_GATHERERS):
+            owner = self._owner()
+            if owner is None:
+                break
+            try:
+                return await self._run_at(owner, request)
+            except RpcError as error:
+                self._leave(owner, request, error)
         return await self.run_here(request)
 
+    def _leave(self, owner, request, error):
+        """Note that a gatherer does not serve; the next one in order is asked then."""
+        self._context.owners.on_error(owner.identity, error)
+        decision(
+            "gatherer-left",
+            request=request.request_id,
+            stage=request.stage,
+            gatherer=owner.identity,
+            why=str(error),
+        )
+
     async def run_here(self, request: StageRequest) -> StageReply:
         """Gather the pieces of one stage at this gateway, or refuse a request that begins."""
         verdict = self._admit(request)
--- a/traystall/passthrough/owners.py
+++ b/traystall/passthrough/owners.py
@@ -8,7 +8,7 @@
 """
 
 from traystall.core import clock
-from traystall.core.exceptions import RpcRefused
+from traystall.core.exceptions import RpcRefused, RpcTimeout
 from traystall.passthrough.rendezvous import rendezvous_order
 from traystall.tables.gateways import GatewayRow
 
@@ -57,7 +57,11 @@
         """Leave a gateway out for a while: it did not answer, or said that it stops."""
         leaving = isinstance(error, RpcRefused) and error.code == LEAVING
         seconds = _LEAVING_SECONDS if leaving else _SUSPECT_SECONDS
-        self._left_out[identity] = clock.monotonic() + seconds
+        now = clock.monotonic()
+        self._left_out[identity] = now + seconds
+        known = self._known.get(identity)
+        if known is not None and isinstance(error, RpcTimeout):
+            self._context.places.on_silent(known[0].data_centre, identity, now)
 
     def _candidates(self, now) -> list[GatewayRow]:
         for row in self._context.follower.directory:
@@ -73,5 +77,7 @@
         return [
             row
             for identity, (row, _) in self._known.items()
-            if row.state == "serving" and self._left_out.get(identity, 0.0) <= now
+            if row.state == "serving"
+            and self._left_out.get(identity, 0.0) <= now
+            and not self._context.places.is_out(row.data_centre, now)
         ]
--- a/traystall/passthrough/piece_queue.py
+++ b/traystall/passthrough/piece_queue.py
@@ -8,7 +8,7 @@
 from traystall.core.logs import decision
 from traystall.passthrough.batching import PieceJob, take_batch
 from traystall.passthrough.dialect import PieceResult
-from traystall.passthrough.exceptions import ConnectFailed, ExchangeError
+from traystall.passthrough.exceptions import ExchangeError
 from traystall.passthrough.makers import SLOW_RATIO, Maker, overdue_after
 from traystall.passthrough.piece_calls import UNREACHABLE, call_maker
 from traystall.routes.models import BatchProfile
@@ -152,16 +152,18 @@
         )
         try:
             results = await call_maker(self._context, view, batch, expected)
+            self._context.places.on_heard(view.report.data_centre)
             maker.learn(clock.monotonic() - began, expected)
             view.on_success(clock.monotonic() - began)
-        except ConnectFailed as error:
-            view.on_unreachable(clock.monotonic(), self._context.random)
-            results = [PieceResult(reason=UNREACHABLE)] * len(batch)
+        except ExchangeError as error:
+            self._context.board.on_exchange_error(view, error, clock.monotonic())
+            reason = "error" if error.sent else UNREACHABLE
+            results = [PieceResult(reason=reason)] * len(batch)
             decision("pieces-failed", target=view.identity, why=error.reason)
-        except (ExchangeError, TimeoutError) as error:
+        except TimeoutError:
             view.on_failure(clock.monotonic(), self._context.random)
             results = [PieceResult(reason="error")] * len(batch)
-            decision("pieces-failed", target=view.identity, why=str(error) or "no answer in time")
+            decision("pieces-failed", target=view.identity, why="no answer in time")
         finally:
             hedge.cancel()
             maker.ended(size)
--- a/traystall/passthrough/pool.py
+++ b/traystall/passthrough/pool.py
@@ -9,7 +9,7 @@
 # A kept connection is left this long, in seconds, before the target would close it.
 _MARGIN_SECONDS = 0.6
 _DEFAULT_IDLE_SECONDS = 4.0
-CONNECT_TIMEOUT = 0.5
+CONNECT_TIMEOUT = 0.25
 
 
 class ConnectionPool:
--- a/traystall/passthrough/runner.py
+++ b/traystall/passthrough/runner.py
@@ -14,11 +14,10 @@
 from traystall.core import clock
 from traystall.core.logs import decision
 from traystall.passthrough import choice
-from traystall.passthrough.attempt import PROMISES, Answer, Attempt
+from traystall.passthrough.attempt import PROMISES, Answer, Attempt, before
 from traystall.passthrough.board import TargetView
 from traystall.passthrough.context import PassContext
 from traystall.passthrough.exceptions import (
-    ConnectFailed,
     ExchangeError,
     NoAnswer,
     Refusal,
@@ -34,6 +33,14 @@
 # Connections that did not come up are tried elsewhere this often; nothing was sent on them.
 _MAX_UNREACHABLE = 4
 _MIN_SECONDS = 0.02
+# Where another target may be asked: how long the first may take to answer, in seconds, as a part
+# of the aim, and beside what is usual.
+_LEAST_PATIENCE = 0.15
+_PATIENCE_PART = 0.45
+_PATIENCE_FACTOR = 3.0
+# A resumable stream that pauses for so long, in seconds and beside its aim, goes on elsewhere.
+_LEAST_PAUSE = 0.6
+_PAUSE_FACTOR = 4.0
 _RETRY_AFTER = (0.2, 0.6)
 
 
@@ -147,11 +154,8 @@
         try:
             async with Attempt(view, self._context.names, passed.request_id) as attempt:
                 return await self._exchange(passed, view, attempt, sink, chain)
-        except ConnectFailed as error:
-            view.on_unreachable(clock.monotonic(), self._context.random)
-            return Failure(FailureKind.UNREACHABLE, error.reason)
         except ExchangeError as error:
-            view.on_failure(clock.monotonic(), self._context.random)
+            self._context.board.on_exchange_error(view, error, clock.monotonic())
             if not error.sent:
                 return Failure(FailureKind.UNREACHABLE, error.reason)
             passed.may_have_run = True
@@ -177,7 +181,8 @@
         passed.attempts += 1
         began = clock.monotonic()
         attempt.send(passed.wire(view, sink.last_id))
-        head = await attempt.read_head()
+        head = await self._head_in_time(passed, attempt)
+        self._context.places.on_heard(view.report.data_centre)
         if passed.route.streamed and _is_success(head, self._context.names):
             return await self._pass_events(passed, attempt, sink, chain, view)
         answer = await attempt.read_whole_after(head)
@@ -189,6 +194,26 @@
         passed.outcome = "complete"
         return _whole_response(answer)
 
+    async def _head_in_time(self, passed, attempt):
+        """Return the head; where another target may be asked, don't wait for it too long."""
+        if not passed.route.may_run_again or passed.attempts >= passed.route.max_attempts:
+            return await attempt.read_head()
+        patience = self._patience(passed)
+        try:
+            return await before(clock.monotonic() + patience, attempt.read_head())
+        except TimeoutError:
+            if passed.remaining() <= _MIN_SECONDS:
+                raise
+            raise NoAnswer("The target takes too long.", sent=True) from None
+
+    def _patience(self, passed) -> float:
+        """Return how long a target may take before another one is asked too."""
+        if passed.route.streamed:
+            usual = self._context.engine_seconds(passed.prompt.seconds())
+        else:
+            usual = self._context.board.mean_seconds(passed.pool)
+        return max(_LEAST_PATIENCE, passed.route.aim * _PATIENCE_PART, usual * _PATIENCE_FACTOR)
+
     def _judge(self, view, attempt, answer) -> Failure | None:
         """Return how an answer fails, or None if it is good."""
         now = clock.monotonic()
@@ -211,7 +236,7 @@
     async def _pass_events(self, passed, attempt, sink, chain, view):
         sent_at = attempt.sent_at
         sink.begin_part(attempt.head)
-        async for chunk in attempt.chunks():
+        async for chunk in attempt.chunks(self._longest_pause(passed)):
             for event in sink.split(chunk):
                 if not sink.is_open:
                     chain.free()
@@ -225,6 +250,15 @@
         passed.outcome = "complete"
         return await sink.finish()
 
+    def _longest_pause(self, passed) -> float | None:
+        """Return after how long a pause a stream is continued elsewhere, or None if it can't be.
+
+        What can't be continued is waited for: silence is no reason to end an answer.
+        """
+        if not passed.route.resumable or passed.attempts >= passed.route.max_attempts:
+            return None
+        return max(_LEAST_PAUSE, passed.route.pause_aim * _PAUSE_FACTOR)
+
     def _finish_failed(self, passed, sink, failure) -> web.StreamResponse:
         if sink.is_open:
             return self._cut(passed, sink, failure.reason if failure else "no target")
--- a/traystall/rpc/client.py
+++ b/traystall/rpc/client.py
@@ -5,11 +5,12 @@
 import logging
 
 from traystall.core.exceptions import RpcError, RpcRefused, RpcTimeout, RpcUnavailable
+from traystall.core.sockets import notice_silence
 from traystall.rpc.framing import make_hello, read_frame, write_frame
 from traystall.rpc.gen.wire.ttypes import Frame, Method
 from traystall.rpc.messages import METHOD_OF_REQUEST, REPLY_TYPES, decode, encode
 
-_CONNECT_TIMEOUT = 1.0
+_CONNECT_TIMEOUT = 0.5
 _MAX_UNSENT_BYTES = 8 * 1024 * 1024
 
 logger = logging.getLogger(__name__)
@@ -108,6 +109,7 @@
                     reply=False,
                     body=encode(self._identity.hello()),
                 )
+                notice_silence(writer.transport)
                 write_frame(writer, hello)
         except (OSError, TimeoutError) as error:
             raise RpcUnavailable(f"{self.address} cannot be reached: {error}.") from error
--- a/traystall/rpc/server.py
+++ b/traystall/rpc/server.py
@@ -5,6 +5,7 @@
 import logging
 
 from traystall.core.exceptions import RpcError, RpcRefused
+from traystall.core.sockets import notice_silence
 from traystall.rpc.framing import read_frame, refuse_reason, write_frame
 from traystall.rpc.gen.wire.ttypes import Frame, Hello, Method
 from traystall.rpc.messages import REQUEST_TYPES, decode, encode
@@ -40,6 +41,7 @@
     async def _serve_link(self, reader, writer):
         task = asyncio.current_task()
         self._tasks.add(task)
+        notice_silence(writer.transport)
         try:
             if await self._greet(reader, writer):
                 await self._serve_frames(reader, writer)
