Begin whole stages only, count room in rates, let what came back wait at the door

Change: the pieces of a stage begin where there is room for all of them; rates count how long results are held; returning requests wait without holding anything.

--- a/traystall/passthrough/admission.py
+++ b/traystall/passthrough/admission.py
@@ -4,8 +4,8 @@
 what the requests that have begun will still ask of it. A request that could not
 be in time is refused at once, while that is worth something to its caller;
 those that have begun go through, because what they hold would be lost. One that
-comes back and still finds no room is let in behind all others: it is served when
-the rush is over, rather than sent away for good.
+comes back and still finds no room waits, holding nothing, until there is plenty:
+it is served when the rush is over, rather than sent away for good.
 """
 
 import msgspec
@@ -18,6 +18,8 @@
 # Every request may wait this part of its aim: long prompts would else never be let in.
 _LEAST_PART = 0.25
 _MIN_RETRY = 0.4
+# One that came back is let in where the wait is below this part of what others may wait.
+_RETURN_PART = 0.5
 # While others keep coming a queue empties so many times slower than it is served.
 _RETRY_FACTOR = 4.0
 # Callers wait up to a third of the time they have left; a little less reaches them surely.
@@ -64,14 +66,13 @@
     admitted: bool
     wait: float
     retry_after: float = 0.0
-    background: bool = False
+    must_wait: bool = False
 
 
 class _Chain(msgspec.Struct):
     arrival: Arrival
     since: float
     wait: float
-    background: bool
     asked: set[int] = msgspec.field(default_factory=set)
     done: set[int] = msgspec.field(default_factory=set)
 
@@ -92,21 +93,21 @@
         `waiting(pool, priority)` returns the pieces that wait there and go before
         work of a priority, `rates` how many pieces a second each pool makes.
         """
-        begun = self._chains.get(arrival.request_id)
-        if begun is not None:
-            return Verdict(True, 0.0, background=begun.background)
+        if arrival.request_id in self._chains:
+            return Verdict(True, 0.0)
         self._forget(now)
         raw_wait = self._longest_wait(arrival, waiting, rates, now)
         wait = raw_wait * self.scale
-        background = wait > _limit(arrival)
-        if background and arrival.mark not in self._refused:
+        came_back = arrival.mark in self._refused
+        limit = _limit(arrival) * (_RETURN_PART if came_back else 1.0)
+        if wait > limit:
             self._refused[arrival.mark] = now
-            return Verdict(False, wait, _retry_after(arrival, wait))
-        self._chains[arrival.request_id] = _Chain(arrival, now, raw_wait, background)
-        if not background:
-            for pool, count in arrival.demand().items():
-                self._forecast(pool).note(arrival.priority, count, now)
-        return Verdict(True, wait, background=background)
+            retry_after = _retry_after(arrival, wait)
+            return Verdict(False, wait, retry_after, must_wait=came_back)
+        self._chains[arrival.request_id] = _Chain(arrival, now, raw_wait)
+        for pool, count in arrival.demand().items():
+            self._forecast(pool).note(arrival.priority, count, now)
+        return Verdict(True, wait)
 
     def asked(self, request_id: str, stage: int) -> None:
         """Note that the pieces of a stage were asked for: they now wait in their queue."""
@@ -127,7 +128,7 @@
             return
         del self._chains[request_id]
         waited = now - chain.since - usual_seconds
-        if chain.wait > _SHORT_WAIT and not chain.background:
+        if chain.wait > _SHORT_WAIT:
             found = max(0.0, waited) / chain.wait
             self.scale += _LEARNING * (found - self.scale)
             self.scale = min(_MAX_SCALE, max(_MIN_SCALE, self.scale))
@@ -141,7 +142,7 @@
         return sum(
             chain.arrival.demand(frozenset(chain.asked)).get(pool, 0)
             for chain in self._chains.values()
-            if chain.arrival.priority <= priority and not chain.background
+            if chain.arrival.priority <= priority
         )
 
     def _longest_wait(self, arrival, waiting, rates, now):
--- a/traystall/passthrough/batching.py
+++ b/traystall/passthrough/batching.py
@@ -4,10 +4,10 @@
 
 from traystall.routes.models import BatchProfile
 
-# Added to the priority of work that is done only when nothing else waits.
-BACKGROUND = 100
 # A piece that should have begun this long ago is no longer likely to be in time.
 _LOST_SECONDS = 0.25
+# A stage that needs more than this part of a target's whole room is not made at one target.
+_WHOLE_PART = 0.8
 # A piece goes to a target outside the data centre where its result is read only when it has
 # to begin within this time.
 _PRESSING_SECONDS = 0.3
@@ -37,16 +37,12 @@
 def order_key(job: PieceJob, now: float) -> tuple:
     """Return what to sort by: requests that have begun, then urgency, then time left.
 
-    Background work comes after all other.
-
     What a request that has begun holds takes room, so it goes on even if it is
     late; of the others those that can still be in time go first.
     """
     begun = bool(job.inputs)
     lost = not begun and job.due < now - _LOST_SECONDS
-    background = job.priority >= BACKGROUND
     return (
-        background,
         not begun,
         job.priority,
         lost,
@@ -73,27 +69,56 @@
     now: float,
     data_centre: str = "",
     makers: int = 1,
+    started: frozenset[str] = frozenset(),
 ) -> list[PieceJob]:
     """Return the pieces for one call of a target, within its batch and room.
 
     The most pressing go first. While more waits than all `makers` of the pool
     take at once, no slot is left empty for the sake of a piece's data centre.
+    The pieces of a stage are begun only where there is room for all that wait of
+    it: results of half a stage would take room and be of no use. `started` names
+    the calls of which some pieces were begun; those go on first.
     """
     live = [job for job in waiting if job.deadline > now]
     crowded = len(live) > profile.batch * makers
-    ranked = sorted(live, key=lambda job: order_key(job, now))
+    ranked = sorted(live, key=lambda job: (job.call_id not in started, *order_key(job, now)))
     if crowded and data_centre:
         ranked = _home_first(ranked, profile.batch, data_centre)
     batch: list[PieceJob] = []
-    for job in ranked:
+    for jobs in _by_call(ranked):
         if len(batch) == profile.batch:
             break
-        if job.result_bytes <= room and may_go(job, data_centre, crowded, now):
-            room -= job.result_bytes
-            batch.append(job)
+        if not may_go(jobs[0], data_centre, crowded, now):
+            continue
+        taken = _that_fit(jobs, profile, room, jobs[0].call_id in started)
+        taken = taken[: profile.batch - len(batch)]
+        room -= sum(job.result_bytes for job in taken)
+        batch += taken
     return batch
 
 
+def _that_fit(jobs, profile, room, started):
+    """Return the pieces of one stage that may be begun with so much room."""
+    needed = sum(job.result_bytes for job in jobs)
+    if needed <= room:
+        return jobs
+    fits = []
+    # What no target could hold as a whole is made in parts, and what was begun is finished.
+    if started or needed > profile.room_bytes * _WHOLE_PART:
+        for job in jobs:
+            if job.result_bytes <= room:
+                room -= job.result_bytes
+                fits.append(job)
+    return fits
+
+
+def _by_call(ranked):
+    calls: dict[str, list[PieceJob]] = {}
+    for job in ranked:
+        calls.setdefault(job.call_id, []).append(job)
+    return calls.values()
+
+
 def _home_first(ranked, batch, data_centre):
     """Return the next two calls' worth of pieces with those read here before the others."""
     head, rest = ranked[: 2 * batch], ranked[2 * batch :]
--- a/traystall/passthrough/gatherer.py
+++ b/traystall/passthrough/gatherer.py
@@ -13,7 +13,6 @@
 from traystall.core.logs import decision
 from traystall.passthrough.admission import AdmissionBook, Arrival, Verdict
 from traystall.passthrough.attempt import Attempt
-from traystall.passthrough.batching import BACKGROUND
 from traystall.passthrough.context import PassContext
 from traystall.passthrough.exceptions import ExchangeError
 from traystall.passthrough.owners import GATHERING_KEY
@@ -39,8 +38,10 @@
 # Results to be given up are collected this long, in seconds.
 _FREE_SECONDS = 0.01
 _FREE_TIMEOUT = 1.0
-# The part of the time left in which a stage of a background request has to be made.
-_BACKGROUND_PART = 0.6
+# The part of the time left in which a request that came back has to be let in, and how often
+# that is asked, in seconds.
+_WAIT_PART = 0.4
+_ASK_SECONDS = 0.05
 
 logger = logging.getLogger(__name__)
 
@@ -53,6 +54,8 @@
         self._links = links
         self._queues: dict[str, PieceQueue] = {}
         self._book = AdmissionBook()
+        # Calls whose requests came back and wait to be let in.
+        self._wait_for_room: set[str] = set()
         self._to_free: dict[tuple[str, str], list[str]] = {}
         self._tasks: set[asyncio.Task] = set()
 
@@ -81,15 +84,12 @@
 
     async def run_here(self, request: StageRequest) -> StageReply:
         """Gather the pieces of one stage at this gateway, or refuse a request that begins."""
-        verdict = self._admit(request)
+        verdict = await self._let_in(request)
         if not verdict.admitted:
             return StageReply(
                 handles=[], reasons=[BUSY] * len(request.pieces), retry_after=verdict.retry_after
             )
         self._book.asked(request.request_id, request.stage)
-        if verdict.background:
-            request.priority = (request.priority or 0) + BACKGROUND
-            request.seconds_left = (request.seconds_left or 0.0) * _BACKGROUND_PART
         reply = await self._queue(request.pool).run(request)
         if all(reply.handles):
             now = clock.monotonic()
@@ -111,6 +111,7 @@
 
     def cancel(self, call_id: str, request_id: str) -> None:
         """Drop the pieces of a call that nobody waits for any more; its request is over."""
+        self._wait_for_room.discard(call_id)
         self._book.ended(request_id)
         for queue in self._queues.values():
             queue.cancel(call_id)
@@ -189,6 +190,26 @@
 
     # ---- this gateway gathers ----
 
+    async def _let_in(self, request) -> Verdict:
+        """Return the verdict on a request; one that came back may wait for it."""
+        verdict = self._admit(request)
+        if not verdict.must_wait:
+            return verdict
+        began = clock.monotonic()
+        patience = (request.seconds_left or 0.0) * _WAIT_PART
+        self._wait_for_room.add(request.call_id)
+        try:
+            while verdict.must_wait and request.call_id in self._wait_for_room:
+                await asyncio.sleep(_ASK_SECONDS)
+                waited = clock.monotonic() - began
+                if waited > patience:
+                    break
+                verdict = self._admit(request)
+        finally:
+            self._wait_for_room.discard(request.call_id)
+        request.seconds_left -= clock.monotonic() - began
+        return verdict
+
     def _admit(self, request) -> Verdict:
         route = self._context.index.named(request.route)
         if route is None or len(request.counts or ()) != len(route.stages):
@@ -206,7 +227,7 @@
         pools = {stage.pool for stage in route.stages}
         rates = {pool: self._queue(pool).rate(now) for pool in pools}
         verdict = self._book.admit(arrival, self._waiting, rates, now)
-        if not verdict.admitted:
+        if not verdict.admitted and not verdict.must_wait:
             decision(
                 "not-admitted",
                 request=request.request_id,
--- a/traystall/passthrough/piece_queue.py
+++ b/traystall/passthrough/piece_queue.py
@@ -29,6 +29,7 @@
     handles: list[str]
     reasons: list[str]
     done: asyncio.Future
+    started: bool = False
 
     def close(self, piece: int, handle: str, reason: str) -> None:
         """Take in what became of a piece; the first result of it counts."""
@@ -79,7 +80,7 @@
         for handle in handles:
             maker = self._makers.get(self._context.stage_dialect.maker(handle))
             if maker is not None:
-                maker.book.free(handle)
+                maker.book.free(handle, clock.monotonic())
         self.pump()
 
     def is_busy(self) -> bool:
@@ -97,7 +98,9 @@
             return 0.0
         seconds = max(0.001, profile.seconds(profile.batch))
         makers = [self._maker(view) for view in self._context.usable(self._pool)]
-        return sum(profile.slots * profile.batch / seconds / maker.ratio for maker in makers)
+        called = sum(profile.slots * profile.batch / seconds / maker.ratio for maker in makers)
+        held = sum(maker.book.rate(profile.room_bytes, seconds) for maker in makers)
+        return min(called, held)
 
     def pump(self) -> None:
         """Give every free target its next call."""
@@ -109,7 +112,8 @@
             room = profile.room_bytes * maker.book.share - maker.book.taken(now)
             makers = len(self._context.usable(self._pool))
             home = view.report.data_centre
-            batch = take_batch(self._waiting, profile, room, now, home, makers)
+            started = frozenset(name for name, call in self._calls.items() if call.started)
+            batch = take_batch(self._waiting, profile, room, now, home, makers, started)
             if batch:
                 self._begin(view, maker, batch, profile, now)
         if self._waiting:
@@ -138,6 +142,9 @@
     def _begin(self, view, maker, batch, profile, now):
         taken = set(map(id, batch))
         self._waiting = [job for job in self._waiting if id(job) not in taken]
+        for job in batch:
+            if job.call_id in self._calls:
+                self._calls[job.call_id].started = True
         size = sum(job.result_bytes for job in batch)
         # Counted here, not in the task: until that runs the target would look free.
         maker.began(now, size)
@@ -203,7 +210,7 @@
         unused = []
         for job, result in zip(batch, results, strict=True):
             if result.handle:
-                maker.book.hold(result.handle, job.result_bytes, now + profile.result_lifetime)
+                maker.book.hold(result.handle, job.result_bytes, now, profile.result_lifetime)
             if not self._is_open(job):
                 unused += [result.handle] if result.handle else []
             elif result.handle:
--- a/traystall/passthrough/room.py
+++ b/traystall/passthrough/room.py
@@ -3,6 +3,8 @@
 _MIN_SHARE = 0.5
 _SHRINK = 0.93
 _GROW = 0.004
+# Weight of the newest result in the means.
+_LEARNING = 0.03
 
 
 class RoomBook:
@@ -11,7 +13,10 @@
     def __init__(self):
         # The part of the declared room that is used: sizes are told only about.
         self.share = 1.0
-        self._held: dict[str, tuple[int, float]] = {}
+        self._held: dict[str, tuple[int, float, float]] = {}
+        # How long a result is held, and how large it is, as means.
+        self._held_seconds = 0.0
+        self._mean_bytes = 0.0
         self._reserved = 0
 
     def reserve(self, size: int) -> None:
@@ -22,13 +27,23 @@
         """Count a call as ended; its results are held one by one."""
         self._reserved -= size
 
-    def hold(self, handle: str, size: int, until: float) -> None:
-        """Count a result, `until` its maker drops it by itself."""
-        self._held[handle] = (size, until)
+    def hold(self, handle: str, size: int, now: float, lifetime: float) -> None:
+        """Count a result; after its lifetime its maker drops it by itself."""
+        self._held[handle] = (size, now, now + lifetime)
+        self._mean_bytes += _LEARNING * (size - self._mean_bytes)
 
-    def free(self, handle: str) -> None:
+    def free(self, handle: str, now: float) -> None:
         """Count a result as given up."""
-        self._held.pop(handle, None)
+        held = self._held.pop(handle, None)
+        if held is not None:
+            self._held_seconds += _LEARNING * (now - held[1] - self._held_seconds)
+
+    def rate(self, room: float, call_seconds: float) -> float:
+        """Return how many results a second the room allows, for how long each is held."""
+        if not self._mean_bytes or not self._held_seconds:
+            return float("inf")
+        results = room * self.share / self._mean_bytes
+        return results / (self._held_seconds + call_seconds)
 
     def on_refused(self) -> None:
         """Use less room: the maker had less left than was counted."""
@@ -40,7 +55,7 @@
 
     def taken(self, now: float) -> int:
         """Return how much room is taken."""
-        over = [handle for handle, (_, until) in self._held.items() if until <= now]
+        over = [handle for handle, (_, _, until) in self._held.items() if until <= now]
         for handle in over:
             del self._held[handle]
-        return self._reserved + sum(size for size, _ in self._held.values())
+        return self._reserved + sum(size for size, _, _ in self._held.values())
