--- a/traystall/passthrough/admission.py
+++ b/traystall/passthrough/admission.py
@@ -14,10 +14,12 @@
 from traystall.routes.models import Route
 
 # A request must be expected this part of its aim before it is late: a forecast errs both ways.
-_MARGIN_PART = 0.15
+_MARGIN_PART = 0.2
 # Every request may wait this part of its aim: long prompts would else never be let in.
 _LEAST_PART = 0.25
 _MIN_RETRY = 0.4
+# To come back sooner than this many times the aim would mostly meet the same rush.
+_RETRY_AIMS = 1.5
 # One that came back is let in where the wait is below this part of what others may wait.
 _RETURN_PART = 0.5
 # While others keep coming a queue empties so many times slower than it is served.
@@ -173,5 +175,5 @@
 
 
 def _retry_after(arrival, wait):
-    wanted = (wait - _limit(arrival)) * _RETRY_FACTOR
+    wanted = max((wait - _limit(arrival)) * _RETRY_FACTOR, arrival.route.aim * _RETRY_AIMS)
     return max(_MIN_RETRY, min(wanted, arrival.seconds_left * _RETRY_PART))
