--- a/tests/passthrough/test_streams.py
+++ b/tests/passthrough/test_streams.py
@@ -131,6 +131,25 @@
     assert not any(maker.calls for maker in makers)
 
 
+def test_request_that_is_over_is_no_longer_counted():
+    """One whose stage fails asks for nothing more: the book of begun requests ends empty."""
+
+    async def play():
+        maker = await Runner("s-0", faults=["closed after running"] * 99).start()
+        try:
+            routing = table(stages=STAGES, timeout=0.6)
+            async with EmulatedGateway(routing, [("batches", maker)]) as gateway:
+                headers = {"Traystall-Pieces": "1,1", "Traystall-Piece-Key": "pk"}
+                status, _, _ = await gateway.call("/staged/x", **headers)
+                return status, gateway.context.gatherer._book
+        finally:
+            await maker.stop()
+
+    status, book = run(play())
+    assert status == 503
+    assert book.to_come("batches", 9) == 0
+
+
 def test_request_whose_stage_fails_has_not_run():
     (status, headers, _), engine, _ = run(_staged(room=0))
     assert status == 503
--- a/traystall/passthrough/admission.py
+++ b/traystall/passthrough/admission.py
@@ -29,12 +29,14 @@
 # A request that was refused is known again this long.
 _REMEMBERED_SECONDS = 10.0
 # Forecasts are scaled by how requests have fared beside theirs; bounds and weight of the newest.
-_MIN_SCALE, _MAX_SCALE = 0.5, 3.0
+_MIN_SCALE, _MAX_SCALE = 0.6, 2.0
 _LEARNING = 0.1
+# What was learned fades by half in this time: else a scale that lets nobody in would stay.
+_HALF_SECONDS = 3.0
 # Waits below this, in seconds, say nothing of the forecast.
 _SHORT_WAIT = 0.1
 # Chains whose end was never told are forgotten after this long.
-_LOST_SECONDS = 15.0
+_LOST_SECONDS = 8.0
 
 
 class Arrival(msgspec.Struct, frozen=True):
@@ -88,6 +90,7 @@
         self._refused: dict[str, float] = {}
         # How long requests have waited beside what was forecast for them.
         self.scale = 1.0
+        self._scaled_at = 0.0
 
     def admit(self, arrival: Arrival, waiting, rates: dict[str, float], now: float) -> Verdict:
         """Decide on a request; one that has begun is always let through.
@@ -98,6 +101,7 @@
         if arrival.request_id in self._chains:
             return Verdict(True, 0.0)
         self._forget(now)
+        self._fade(now)
         raw_wait = self._longest_wait(arrival, waiting, rates, now)
         wait = raw_wait * self.scale
         came_back = arrival.mark in self._refused
@@ -156,6 +160,11 @@
             waits.append(forecast.seconds(arrival.priority, ahead, rate, now))
         return max(waits)
 
+    def _fade(self, now):
+        elapsed = max(0.0, now - self._scaled_at)
+        self._scaled_at = now
+        self.scale = 1.0 + (self.scale - 1.0) * 0.5 ** (elapsed / _HALF_SECONDS)
+
     def _forecast(self, pool) -> WaitForecast:
         return self._forecasts.setdefault(pool, WaitForecast())
 
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -31,7 +31,9 @@
 _IDLE_SECONDS = 60.0
 _PUMP_SECONDS = 0.25
 # How long what was gathered for other gateways may take after the last own request, in seconds.
-_GATHERED_SECONDS = 0.7
+_GATHERED_SECONDS = 0.3
+# How long connections without a request may take to close, in seconds.
+_CLOSE_SECONDS = 0.2
 
 logger = logging.getLogger(__name__)
 
@@ -214,7 +216,7 @@
             max_line_size=_MAX_HEADER_BYTES,
             max_field_size=_MAX_HEADER_BYTES,
         )
-        self._runner = web.ServerRunner(server)
+        self._runner = web.ServerRunner(server, shutdown_timeout=_CLOSE_SECONDS)
         await self._runner.setup()
         self._site = await _listen(self._runner, self.settings.listen)
         self._health = None
--- a/traystall/passthrough/gatherer.py
+++ b/traystall/passthrough/gatherer.py
@@ -116,6 +116,14 @@
         for queue in self._queues.values():
             queue.cancel(call_id)
 
+    def abandon(self, request_id: str) -> None:
+        """Tell that a request is over and will ask for nothing more."""
+        self._book.ended(request_id)
+        owner = self._owner()
+        if owner is not None:
+            message = StageCancel(call_id="", request_id=request_id)
+            self._spawn(self._send(self._links.link(owner.rpc_address), message))
+
     async def ping(self, request: PingRequest) -> PingReply:
         """Answer that this gateway is there."""
         return PingReply(identity=self._context.identity)
--- a/traystall/passthrough/stages.py
+++ b/traystall/passthrough/stages.py
@@ -45,6 +45,7 @@
             for task in tasks.values():
                 task.cancel()
             await asyncio.gather(*tasks.values(), return_exceptions=True)
+            self._context.gatherer.abandon(self._passed.request_id)
             raise
         return tuple(
             handle
