Take forecasts for what they have proved to be, and packet loss for loss

Cause: forecasts count what begun requests will ask much later, so real waits are about 0.7 of them: requests were refused while makers idled (2.1 of 3 busy).

--- a/traystall/passthrough/admission.py
+++ b/traystall/passthrough/admission.py
@@ -29,9 +29,9 @@
 # A request that was refused is known again this long.
 _REMEMBERED_SECONDS = 10.0
 # Forecasts are scaled by how requests have fared beside theirs; bounds and weight of the newest.
-_MIN_SCALE, _MAX_SCALE = 0.6, 2.0
+_MIN_SCALE, _USUAL_SCALE, _MAX_SCALE = 0.4, 0.7, 2.0
 _LEARNING = 0.1
-# What was learned fades by half in this time: else a scale that lets nobody in would stay.
+# A scale above the usual fades by half in this time: else one that lets nobody in would stay.
 _HALF_SECONDS = 3.0
 # Waits below this, in seconds, say nothing of the forecast.
 _SHORT_WAIT = 0.1
@@ -89,7 +89,7 @@
         self._forecasts: dict[str, WaitForecast] = {}
         self._refused: dict[str, float] = {}
         # How long requests have waited beside what was forecast for them.
-        self.scale = 1.0
+        self.scale = _USUAL_SCALE
         self._scaled_at = 0.0
 
     def admit(self, arrival: Arrival, waiting, rates: dict[str, float], now: float) -> Verdict:
@@ -163,7 +163,8 @@
     def _fade(self, now):
         elapsed = max(0.0, now - self._scaled_at)
         self._scaled_at = now
-        self.scale = 1.0 + (self.scale - 1.0) * 0.5 ** (elapsed / _HALF_SECONDS)
+        above = max(0.0, self.scale - _USUAL_SCALE)
+        self.scale -= above * (1.0 - 0.5 ** (elapsed / _HALF_SECONDS))
 
     def _forecast(self, pool) -> WaitForecast:
         return self._forecasts.setdefault(pool, WaitForecast())
--- a/traystall/passthrough/gatherer.py
+++ b/traystall/passthrough/gatherer.py
@@ -34,7 +34,8 @@
 _MAX_GATHERERS = 3
 # While a gatherer holds pieces it is asked this often, in seconds, whether it is there.
 _PING_SECONDS = 0.15
-_PING_TIMEOUT = 0.15
+# Longer than a lost packet takes to be sent again: loss alone must not move the ownership.
+_PING_TIMEOUT = 0.35
 # Results to be given up are collected this long, in seconds.
 _FREE_SECONDS = 0.01
 _FREE_TIMEOUT = 1.0
--- a/traystall/passthrough/placing.py
+++ b/traystall/passthrough/placing.py
@@ -4,7 +4,7 @@
 import logging
 
 from traystall.core import clock
-from traystall.core.exceptions import RpcError
+from traystall.core.exceptions import RpcError, RpcTimeout
 from traystall.core.logs import decision
 from traystall.passthrough.board import TargetView
 from traystall.passthrough.owners import placing_key
@@ -15,6 +15,8 @@
 
 # An answer that takes longer than this, in seconds, costs more than a worse choice.
 _ASK_TIMEOUT = 0.06
+# So many late answers in a row and another gateway is asked.
+_MAX_LATE = 3
 _STARTED = "started"
 _ENDED = "ended"
 # Choices for the same request far apart in time are made anew; so are notes out of order.
@@ -32,6 +34,7 @@
         self._placers: dict[str, EnginePlacer] = {}
         self._tasks: set[asyncio.Task] = set()
         self._retain_due = 0.0
+        self._late = 0
 
     async def choose(self, passed: PassRequest, book: bool) -> TargetView | None:
         """Return the engine for a request; `book` counts the prompt as being read there."""
@@ -99,15 +102,26 @@
         try:
             reply = await self._links.link(owner.rpc_address).call(request, _ASK_TIMEOUT)
         except RpcError as error:
-            self._context.owners.on_error(owner.identity, error)
+            self._on_error(owner, error)
             decision("place-here", request=request.request_id, why=str(error))
             return None
+        self._late = 0
         view = self._context.board.view(reply.identity or "")
         usable = view is not None and view.connections.has_room() and not view.is_misplaced
         if not usable or clock.monotonic() < view.avoid_until:
             return None
         return view
 
+    def _on_error(self, owner, error):
+        """Leave a placer out that is gone, or that has been late several times in a row.
+
+        A single late answer may be a lost packet.
+        """
+        self._late += 1
+        if not isinstance(error, RpcTimeout) or self._late >= _MAX_LATE:
+            self._late = 0
+            self._context.owners.on_error(owner.identity, error)
+
     def _tell(self, passed, what):
         note = PlaceNote(pool=passed.pool, request_id=passed.request_id, what=what)
         self.note_here(note)
