Run stages again when their results are lost, and never answer inside a stream

Change: results that are lost make the stages run once more, within the budget; a stream that goes on elsewhere gets its inputs made anew; a refusal after a stream's head cuts it. Pieces go away from home only 0.1 s before they must begin.

--- a/tests/passthrough/test_streams.py
+++ b/tests/passthrough/test_streams.py
@@ -124,6 +124,69 @@
         assert all(not maker.held for maker in makers)
 
 
+@pytest.mark.parametrize("lost_at", ["engine", "maker"])
+def test_stages_are_run_again_when_results_are_lost(lost_at):
+    async def play():
+        engine = await Runner("e-1", events=3).start()
+        maker = await Runner("s-0").start()
+        if lost_at == "engine":
+            engine.faults.append("inputs lost")
+        else:
+            maker.loses = 1
+        try:
+            pools = [("engine", engine), ("batches", maker)]
+            async with EmulatedGateway(table(stages=STAGES), pools) as gateway:
+                headers = {"Traystall-Pieces": "3,2", "Traystall-Piece-Key": "pk"}
+                answer = await gateway.call("/staged/x", **headers)
+                await asyncio.sleep(0.1)
+                return answer, engine, maker
+        finally:
+            await engine.stop()
+            await maker.stop()
+
+    (status, _, body), engine, maker = run(play())
+    assert (status, body) == (200, whole(3))
+    assert len(engine.runs) == 1
+    assert not maker.held
+
+
+@pytest.mark.parametrize("maker_faults", [[], ["closed after running"] * 99])
+def test_resumed_stream_with_stages_is_whole_or_visibly_broken(maker_faults):
+    """Found on the users' bench: an answer of our own landed inside a stream (seed in findings)."""
+
+    async def play():
+        engines = [await Runner(f"e-{i}", events=8).start() for i in range(2)]
+        for engine in engines:
+            engine.faults.append("reset in the body")
+        maker = await Runner("s-0").start()
+        try:
+            pools = [("engine", engine) for engine in engines] + [("batches", maker)]
+            routing = table(stages=STAGES, resumable=True, max_attempts=3, timeout=1.5)
+            async with EmulatedGateway(routing, pools) as gateway:
+                headers = {"Traystall-Pieces": "1,1", "Traystall-Piece-Key": "pk"}
+                task = asyncio.create_task(gateway.call("/staged/x", **headers))
+                while not any(engine.runs for engine in engines):
+                    await asyncio.sleep(0.002)
+                maker.faults.extend(maker_faults)
+                for engine in engines:
+                    if not engine.runs:
+                        engine.faults.clear()
+                return await task, engines, maker
+        finally:
+            for runner in [*engines, maker]:
+                await runner.stop()
+
+    if maker_faults:
+        with pytest.raises(aiohttp.ClientError):
+            run(play())
+        return
+    (status, _, body), engines, maker = run(play())
+    assert (status, body) == (200, whole(8))
+    resumed = next(r for e in engines for r in e.runs if "last-event-id" in r["headers"])
+    assert resumed["headers"]["traystall-inputs"]
+    assert len(maker.calls) == 4
+
+
 def test_stage_without_pieces_is_left_out():
     (status, _, _), engine, makers = run(_staged(counts="0,0"))
     assert status == 200
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,56 @@
+"""The platform's settings file becomes the product's settings, and a stop ends in its grace."""
+
+import pytest
+from traystall_platform import control, gateway
+from traystall_platform.node_file import NodeFile
+
+EDGE = """node=edge-1
+ip=10.1.0.41
+zone=hall
+listen.front=10.1.0.41:8625
+listen.ready=10.1.0.41:8621
+port-range=7740,7755
+seeds=10.1.0.44:8628,10.2.0.27:8628
+bootstrap=true
+bounds.retry-ratio=0.2
+bounds.retry-slack=58
+"""
+CORE = """node=core-1
+ip=10.1.0.44
+zone=hall
+listen.control=10.1.0.44:8628
+port-range=7740,7755
+seeds=10.1.0.44:8628,10.2.0.27:8628
+data-dir=/data/x
+"""
+
+
+@pytest.mark.parametrize("grace", [6, 8, 12, 30])
+def test_stop_ends_before_the_grace_does(grace):
+    settings = gateway.make_settings(NodeFile.parse(f"{EDGE}bounds.grace-s={grace}\n"))
+    longest = settings.drain_notice + settings.drain_limit
+    assert grace * 5 / 6 <= longest <= grace - 0.5
+
+
+def test_gateway_settings():
+    settings = gateway.make_settings(NodeFile.parse(EDGE))
+    assert settings.control == ["10.1.0.44:7740", "10.2.0.27:7740"]
+    assert settings.rpc_listen == "10.1.0.41:7740"
+    assert (settings.repeat_ratio, settings.repeat_slack) == (0.2, 58.0)
+
+
+@pytest.mark.parametrize(
+    ("extra", "founds"), [("bootstrap=true", True), ("bootstrap=false", False), ("", False)]
+)
+def test_only_a_first_start_founds_a_group(extra, founds):
+    settings = control.make_settings(NodeFile.parse(CORE + extra))
+    assert bool(settings.initial_members) is founds
+    assert settings.join == ["10.1.0.44:7740", "10.2.0.27:7740"]
+    assert settings.number_rule == "highest" and settings.self_repair
+
+
+def test_one_that_is_no_seed_joins():
+    settings = control.make_settings(
+        NodeFile.parse(CORE.replace("ip=10.1.0.44", "ip=10.9.0.1") + "bootstrap=true")
+    )
+    assert not settings.initial_members
--- a/traystall/passthrough/batching.py
+++ b/traystall/passthrough/batching.py
@@ -10,7 +10,7 @@
 _WHOLE_PART = 0.8
 # A piece goes to a target outside the data centre where its result is read only when it has
 # to begin within this time.
-_PRESSING_SECONDS = 0.3
+_PRESSING_SECONDS = 0.1
 
 
 class PieceJob(msgspec.Struct, eq=False):
--- a/traystall/passthrough/runner.py
+++ b/traystall/passthrough/runner.py
@@ -25,13 +25,17 @@
 from traystall.passthrough.messages import answer_headers
 from traystall.passthrough.request import PassRequest
 from traystall.passthrough.sink import StreamSink
-from traystall.passthrough.stages import StageChain, StageFailed
+from traystall.passthrough.stages import InputsGone, StageChain, StageFailed
 
 # A request that must not run twice goes only on connections that rested less than this, in
 # seconds: one that the target closes meanwhile would leave a doubt.
 _FRESH_SECONDS = 1.0
 # Connections that did not come up are tried elsewhere this often; nothing was sent on them.
 _MAX_UNREACHABLE = 4
+# The stages are run so many times at the most.
+_MAX_CHAINS = 2
+# The status of a target that misses an input, beside its word that it has not run the request.
+_INPUTS_LOST = 409
 _MIN_SECONDS = 0.02
 # Where another target may be asked: how long the first may take to answer, in seconds, as a part
 # of the aim, and beside what is usual.
@@ -81,21 +85,46 @@
     async def run(self, request: web.BaseRequest, passed: PassRequest) -> web.StreamResponse:
         """Return the final answer, or raise Refusal."""
         sink = StreamSink(request, passed)
-        chain = StageChain(self._context, passed)
         self._context.budget(passed.pool).on_request(clock.monotonic())
         try:
             async with asyncio.timeout(max(0.0, passed.remaining())):
-                await self._run_stages(chain, passed)
-                return await self._run_attempts(passed, sink, chain)
+                return await self._run_chains(passed, sink)
         except TimeoutError:
             if sink.is_open:
                 return self._cut(passed, sink, "timeout")
             raise self._refusal(passed, "too-late", "The deadline passed.") from None
+        except Refusal as refusal:
+            if sink.is_open:
+                # Its head is sent: an answer of our own would land inside the target's.
+                return self._cut(passed, sink, refusal.detail)
+            raise
         except asyncio.CancelledError:
             passed.outcome = "caller-left"
             raise
-        finally:
-            chain.free()
+
+    async def _run_chains(self, passed, sink):
+        """Run the stages and the request; once more from the start if results were lost."""
+        for left in reversed(range(_MAX_CHAINS)):
+            chain = StageChain(self._context, passed)
+            try:
+                await self._run_stages(chain, passed)
+                return await self._run_attempts(passed, sink, chain)
+            except InputsGone as error:
+                decision("inputs-gone", request=passed.request_id, why=str(error), left=left)
+                if not left or not self._may_run_stages_again(passed):
+                    raise self._refusal(passed, "stage-failed", str(error)) from error
+            finally:
+                chain.free()
+        raise AssertionError("The last chain returns or raises.")
+
+    def _may_run_stages_again(self, passed) -> bool:
+        """Take what the pools of the stages allow to be asked again."""
+        pools = {
+            stage.pool: count
+            for stage, count in zip(passed.route.stages, passed.piece_counts, strict=True)
+            if count
+        }
+        return all(self._context.may_repeat(pool, count) for pool, count in pools.items())
 
     async def _run_stages(self, chain, passed):
         if not any(passed.piece_counts):
@@ -105,6 +134,8 @@
         passed.home = likely.report.data_centre if likely else ""
         try:
             passed.inputs = await chain.run()
+        except InputsGone:
+            raise
         except StageFailed as error:
             code = "busy" if error.retry_after else "stage-failed"
             raise self._refusal(passed, code, str(error), error.retry_after) from error
@@ -131,11 +162,17 @@
                 attempt=passed.attempts,
             )
             unreachable += failure.kind is FailureKind.UNREACHABLE
+            if _lost_inputs(failure):
+                passed.tried.discard(view.identity)
+                raise InputsGone(failure.reason)
             if not may_try_again(passed, failure, unreachable):
                 return self._finish_failed(passed, sink, failure)
             counted = failure.kind is not FailureKind.UNREACHABLE
             if counted and not self._context.may_repeat(passed.pool):
                 return self._finish_failed(passed, sink, failure)
+            if sink.is_open and passed.inputs:
+                # They were given up when the stream began; whoever continues it reads them anew.
+                raise InputsGone("The stream goes on elsewhere and needs its inputs again.")
 
     async def _choose(self, passed, book) -> TargetView | None:
         context = self._context
@@ -296,6 +333,13 @@
     return head.get(names.signature) is not None and head.get("Content-Encoding") is None
 
 
+def _lost_inputs(failure) -> bool:
+    """Return whether a target has not run a request because results it reads are lost."""
+    answer = failure.answer
+    not_run = failure.kind is FailureKind.NOT_RUN and answer is not None
+    return not_run and answer.head.status == _INPUTS_LOST
+
+
 def _not_run_pause(head) -> float:
     try:
         return min(2.0, float(head.get("Retry-After") or 0.05))
--- a/traystall/passthrough/stages.py
+++ b/traystall/passthrough/stages.py
@@ -7,6 +7,8 @@
 from traystall.core.ids import new_id
 from traystall.rpc.gen.wire.ttypes import StageRequest
 
+# The reason of a piece whose inputs are lost.
+GONE = "gone"
 # The part of the learned difference between two chains that the shorter one waits.
 _DELAY_SHARE = 0.7
 
@@ -22,6 +24,10 @@
         super().__init__(detail)
 
 
+class InputsGone(StageFailed):
+    """Report results that were lost with their maker: the stages have to be run again."""
+
+
 class StageChain:
     """Run the stages of one request and give their results up when they are of no more use."""
 
@@ -93,6 +99,8 @@
         if len(self._handles[index]) < count:
             reasons = sorted({reason for reason in reply.reasons if reason})
             detail = f"Stage {index} was not made: {', '.join(reasons)}."
+            if GONE in reasons:
+                raise InputsGone(detail)
             raise StageFailed(detail, reply.retry_after)
         self._free_read(index)
 
