--- a/tests/passthrough/test_decisions.py
+++ b/tests/passthrough/test_decisions.py
@@ -63,9 +63,11 @@
 
 def test_piece_waits_for_a_maker_where_its_result_is_read():
     away = PieceJob("away", "away", 0, 0, "k", (), 0, 3.0, 9.0, 0, "there")
-    assert take_batch([away], PROFILE, 10, 1.0, "here") == []
-    assert take_batch([away], PROFILE, 10, 1.0, "there") == [away]
-    assert take_batch([away], PROFILE, 10, 2.95, "here") == [away]
+    profile = BatchProfile(batch=8, room_bytes=10)
+    assert take_batch([away], profile, 10, 1.0, "here") == []
+    assert take_batch([away], profile, 10, 1.0, "there") == [away]
+    assert take_batch([away], profile, 10, 2.95, "here") == [away]
+    assert take_batch([away], PROFILE, 10, 1.0, "here") == [away], "the pool is crowded"
 
 
 def test_urgent_pieces_go_first():
--- a/traystall/passthrough/batching.py
+++ b/traystall/passthrough/batching.py
@@ -6,6 +6,8 @@
 
 # A piece that should have begun this long ago is no longer likely to be in time.
 _LOST_SECONDS = 0.25
+# A pool is crowded when more waits than this part of what all its targets take at once.
+_CROWDED_PART = 0.4
 # A stage that needs more than this part of a target's whole room is not made at one target.
 _WHOLE_PART = 0.8
 # A piece goes to a target outside the data centre where its result is read only when it has
@@ -73,14 +75,14 @@
 ) -> list[PieceJob]:
     """Return the pieces for one call of a target, within its batch and room.
 
-    The most pressing go first. While more waits than all `makers` of the pool
-    take at once, no slot is left empty for the sake of a piece's data centre.
+    The most pressing go first. While the `makers` of the pool have much before them,
+    no slot is left empty for the sake of a piece's data centre.
     The pieces of a stage are begun only where there is room for all that wait of
     it: results of half a stage would take room and be of no use. `started` names
     the calls of which some pieces were begun; those go on first.
     """
     live = [job for job in waiting if job.deadline > now]
-    crowded = len(live) > profile.batch * makers
+    crowded = len(live) > profile.batch * makers * _CROWDED_PART
     ranked = sorted(live, key=lambda job: (job.call_id not in started, *order_key(job, now)))
     if crowded and data_centre:
         ranked = _home_first(ranked, profile.batch, data_centre)
--- a/traystall/passthrough/runner.py
+++ b/traystall/passthrough/runner.py
@@ -1,14 +1,12 @@
 """Run one request: its stages, then attempts at targets until there is a final answer.
 
-What decides whether it may be sent again stands in `may_try_again`: only work
-that is known not to have run, or that may run again, and only within the
+What decides whether it may be sent again stands in `failures.may_try_again`: only
+work that is known not to have run, or that may run again, and only within the
 route's attempts and the budget.
 """
 
 import asyncio
-from enum import StrEnum
 
-import msgspec
 from aiohttp import web
 
 from traystall.core import clock
@@ -22,6 +20,15 @@
     NoAnswer,
     Refusal,
 )
+from traystall.passthrough.failures import (
+    MIN_SECONDS,
+    Failure,
+    FailureKind,
+    is_success,
+    lost_inputs,
+    may_try_again,
+    pause_after_refusal,
+)
 from traystall.passthrough.messages import answer_headers
 from traystall.passthrough.request import PassRequest
 from traystall.passthrough.sink import StreamSink
@@ -30,13 +37,8 @@
 # A request that must not run twice goes only on connections that rested less than this, in
 # seconds: one that the target closes meanwhile would leave a doubt.
 _FRESH_SECONDS = 1.0
-# Connections that did not come up are tried elsewhere this often; nothing was sent on them.
-_MAX_UNREACHABLE = 4
 # The stages are run so many times at the most.
 _MAX_CHAINS = 2
-# The status of a target that misses an input, beside its word that it has not run the request.
-_INPUTS_LOST = 409
-_MIN_SECONDS = 0.02
 # Where another target may be asked: how long the first may take to answer, in seconds, as a part
 # of the aim, and beside what is usual.
 _LEAST_PATIENCE = 0.15
@@ -48,34 +50,6 @@
 _RETRY_AFTER = (0.2, 0.6)
 
 
-class FailureKind(StrEnum):
-    """Say what a failed attempt proves."""
-
-    UNREACHABLE = "unreachable"
-    NOT_RUN = "not-run"
-    DOUBT = "doubt"
-    FAILED = "failed"
-
-
-class Failure(msgspec.Struct, frozen=True):
-    """Hold how an attempt failed; `answer` is the target's own, where it gave one."""
-
-    kind: FailureKind
-    reason: str
-    answer: Answer | None = None
-
-
-def may_try_again(passed: PassRequest, failure: Failure, unreachable: int) -> bool:
-    """Return whether another target may get the request, leaving the budget aside."""
-    if passed.remaining() < _MIN_SECONDS:
-        return False
-    if failure.kind is FailureKind.UNREACHABLE:
-        return unreachable < _MAX_UNREACHABLE
-    if passed.attempts >= passed.route.max_attempts:
-        return False
-    return failure.kind is FailureKind.NOT_RUN or passed.route.may_run_again
-
-
 class PassRunner:
     """Run requests at one gateway."""
 
@@ -162,8 +136,10 @@
                 attempt=passed.attempts,
             )
             unreachable += failure.kind is FailureKind.UNREACHABLE
-            if _lost_inputs(failure):
+            if lost_inputs(failure):
                 passed.tried.discard(view.identity)
+                if not self._context.may_repeat(passed.pool):
+                    return self._finish_failed(passed, sink, failure)
                 raise InputsGone(failure.reason)
             if not may_try_again(passed, failure, unreachable):
                 return self._finish_failed(passed, sink, failure)
@@ -220,7 +196,7 @@
         attempt.send(passed.wire(view, sink.last_id))
         head = await self._head_in_time(passed, attempt)
         self._context.places.on_heard(view.report.data_centre)
-        if passed.route.streamed and _is_success(head, self._context.names):
+        if passed.route.streamed and is_success(head, self._context.names):
             return await self._pass_events(passed, attempt, sink, chain, view)
         answer = await attempt.read_whole_after(head)
         failure = self._judge(view, attempt, answer)
@@ -239,7 +215,7 @@
         try:
             return await before(clock.monotonic() + patience, attempt.read_head())
         except TimeoutError:
-            if passed.remaining() <= _MIN_SECONDS:
+            if passed.remaining() <= MIN_SECONDS:
                 raise
             raise NoAnswer("The target takes too long.", sent=True) from None
 
@@ -259,9 +235,9 @@
             if head.status == 421:
                 view.is_misplaced = True
             elif head.status not in (400, 409):
-                view.avoid_until = max(view.avoid_until, now + _not_run_pause(head))
+                view.avoid_until = max(view.avoid_until, now + pause_after_refusal(head))
             return Failure(FailureKind.NOT_RUN, f"The target answered {head.status}.", answer)
-        if _is_success(head, self._context.names):
+        if is_success(head, self._context.names):
             return None
         if 200 <= head.status < 300:
             view.on_failure(now, self._context.random)
@@ -326,27 +302,6 @@
         return sink.response
 
 
-def _is_success(head, names) -> bool:
-    """Return whether a head is a target's own success: signed, and not encoded on the way."""
-    if not 200 <= head.status < 300:
-        return False
-    return head.get(names.signature) is not None and head.get("Content-Encoding") is None
-
-
-def _lost_inputs(failure) -> bool:
-    """Return whether a target has not run a request because results it reads are lost."""
-    answer = failure.answer
-    not_run = failure.kind is FailureKind.NOT_RUN and answer is not None
-    return not_run and answer.head.status == _INPUTS_LOST
-
-
-def _not_run_pause(head) -> float:
-    try:
-        return min(2.0, float(head.get("Retry-After") or 0.05))
-    except ValueError:
-        return 0.05
-
-
 def _whole_response(answer: Answer) -> web.Response:
     return web.Response(
         status=answer.head.status, headers=answer_headers(answer.head), body=answer.body
