--- a/traystall/consensus/replica.py
+++ b/traystall/consensus/replica.py
@@ -12,6 +12,7 @@
 new identity, can never answer for the old one.
 """
 
+from traystall.consensus.elections import Elections
 from traystall.consensus.log import ReplicaLog
 from traystall.consensus.models import (
     AppendLog,
@@ -24,11 +25,11 @@
     Snapshot,
     Timing,
     TruncateLog,
-    decode_members,
     encode_members,
 )
 from traystall.consensus.progress import Progress
-from traystall.consensus.quorum import is_majority, is_single_step, reached_by_majority
+from traystall.consensus.quorum import is_single_step, reached_by_majority
+from traystall.consensus.snapshots import SnapshotTransfer
 from traystall.core.exceptions import ChangeInProgress, ConsensusError, NotLeader
 from traystall.rpc.gen.wire.ttypes import (
     AppendReply,
@@ -43,13 +44,12 @@
 
 MAX_APPEND_ENTRIES = 512
 MAX_APPEND_BYTES = 1024 * 1024
-SNAPSHOT_CHUNK_BYTES = 256 * 1024
 # A learner this close to the commit index counts as caught up.
 CAUGHT_UP_ENTRIES = 64
 _MAX_ROUNDS_KEPT = 64
 
 
-class Replica:
+class Replica(Elections, SnapshotTransfer):
     """Take part in one group under one identity."""
 
     def __init__(
@@ -245,31 +245,6 @@
         self._handover_to = ""
         self._reset_election_timer(now)
 
-    def _start_pre_vote(self, now):
-        self.role = Role.PRE_CANDIDATE
-        self.leader = ""
-        self._votes = {self.identity}
-        self._reset_election_timer(now)
-        if is_majority(self._votes, self.voters):
-            self._start_election(now, handover=False)
-            return
-        self._ready.messages += self._vote_requests(self.term + 1, pre_vote=True, handover=False)
-
-    def _start_election(self, now, handover):
-        self.role = Role.CANDIDATE
-        self.leader = ""
-        self._set_hard_state(HardState(term=self.term + 1, vote=self.identity))
-        self._votes = set()
-        self._reset_election_timer(now)
-        requests = self._vote_requests(self.term, pre_vote=False, handover=handover)
-        # The own vote also comes as a message, so that it counts only once it is synced.
-        own_vote = VoteReply(
-            **self._envelope(self.identity),
-            granted=True,
-            pre_vote=False,
-        )
-        self._ready.messages_after_sync += [*requests, own_vote]
-
     def _become_leader(self, now):
         self.role = Role.LEADER
         self.leader = self.identity
@@ -328,82 +303,6 @@
         if progress is not None and progress.match_index == self.log.last_index:
             self._ready.messages.append(TimeoutNow(**self._envelope(self._handover_to)))
 
-    # ---- votes ----
-
-    def _vote_requests(self, term, pre_vote, handover):
-        return [
-            VoteRequest(
-                **self._envelope(voter, term),
-                last_index=self.log.last_index,
-                last_term=self.log.last_term,
-                pre_vote=pre_vote,
-                handover=handover,
-            )
-            for voter in sorted(self.voters)
-            if voter != self.identity
-        ]
-
-    def _on_vote_request(self, request, now):
-        if not self._may_answer_vote(request, now):
-            return
-        if request.term > self.term and not request.pre_vote:
-            self._become_follower(request.term, "", now)
-        granted = self._grants(request)
-        if granted and not request.pre_vote:
-            self._set_hard_state(HardState(term=self.term, vote=request.sender))
-            self._reset_election_timer(now)
-        term = request.term if granted and request.pre_vote else self.term
-        reply = VoteReply(
-            **self._envelope(request.sender, term),
-            granted=granted,
-            pre_vote=request.pre_vote,
-        )
-        self._ready.messages_after_sync.append(reply)
-
-    def _may_answer_vote(self, request, now):
-        """Stay silent while a leader may hold a lease that counts on this replica."""
-        if now < self._may_vote_after and not self._is_new():
-            return False
-        if request.handover:
-            return True
-        if self.is_leader and not request.term <= self.term:
-            return now > self._quorum_contact() + self.timing.election_min
-        return now >= self._heard_from_leader + self.timing.election_min
-
-    def _is_new(self):
-        return self.term == 0 and self.log.last_index == 0
-
-    def _grants(self, request):
-        if request.term < self.term:
-            return False
-        up_to_date = (request.last_term, request.last_index) >= (
-            self.log.last_term,
-            self.log.last_index,
-        )
-        if request.pre_vote:
-            return up_to_date and request.term > self.term
-        free = self.hard_state.vote in ("", request.sender)
-        return up_to_date and free and self.role is Role.FOLLOWER
-
-    def _on_pre_vote_granted(self, reply, now):
-        if self.role is not Role.PRE_CANDIDATE or reply.term != self.term + 1:
-            return
-        self._votes.add(reply.sender)
-        if is_majority(self._votes, self.voters):
-            self._start_election(now, handover=False)
-
-    def _on_vote_reply(self, reply, now):
-        if self.role is not Role.CANDIDATE or reply.term != self.term or reply.pre_vote:
-            return
-        if reply.granted:
-            self._votes.add(reply.sender)
-        if is_majority(self._votes, self.voters):
-            self._become_leader(now)
-
-    def _on_timeout_now(self, message, now):
-        if message.term == self.term and self.identity in self.voters and not self.is_leader:
-            self._start_election(now, handover=True)
-
     # ---- replication ----
 
     def _dispatch(self, message, now):
@@ -578,99 +477,6 @@
             self.leader = ""
             self.progress = {}
 
-    # ---- snapshots ----
-
-    def _send_snapshot(self, peer, now):
-        progress = self.progress[peer]
-        snapshot = self.log.snapshot
-        if progress.snapshot_index != snapshot.index:
-            progress.snapshot_index = snapshot.index
-            progress.snapshot_offset = 0
-        elif now < progress.snapshot_sent_at + self.timing.heartbeat:
-            return
-        self._send_chunk(peer, now)
-
-    def _send_chunk(self, peer, now):
-        progress = self.progress[peer]
-        snapshot = self.log.snapshot
-        end = progress.snapshot_offset + SNAPSHOT_CHUNK_BYTES
-        progress.snapshot_sent_at = now
-        self._ready.messages.append(
-            SnapshotChunk(
-                **self._envelope(peer),
-                index=snapshot.index,
-                index_term=snapshot.term,
-                members=encode_members(snapshot.members),
-                offset=progress.snapshot_offset,
-                data=snapshot.data[progress.snapshot_offset : end],
-                last=end >= len(snapshot.data),
-                round=self._round,
-            )
-        )
-
-    def _on_snapshot_chunk(self, chunk, now):
-        if chunk.term < self.term:
-            return
-        self._follow(chunk.sender, now)
-        if self.log.term_at(chunk.index) == chunk.index_term:
-            # The log holds this point: entries after it may have been acknowledged, so keep them.
-            self._commit_to(chunk.index)
-        if chunk.index <= self.commit_index:
-            self._reply_snapshot(chunk, offset=0, installed=True)
-            return
-        held = self._incoming_for(chunk)
-        if chunk.offset == len(held):
-            held.extend(chunk.data or b"")
-            if chunk.last:
-                self._install(chunk, bytes(held))
-                self._reply_snapshot(chunk, offset=0, installed=True)
-                return
-        self._reply_snapshot(chunk, offset=len(held), installed=False)
-
-    def _incoming_for(self, chunk):
-        if self._incoming is None or self._incoming[0] != chunk.index or chunk.offset == 0:
-            self._incoming = (chunk.index, bytearray())
-        return self._incoming[1]
-
-    def _install(self, chunk, data):
-        snapshot = Snapshot(
-            index=chunk.index,
-            term=chunk.index_term,
-            members=decode_members(chunk.members),
-            data=data,
-        )
-        self._incoming = None
-        self.log.reset(snapshot)
-        self._synced_index = snapshot.index
-        self.commit_index = snapshot.index
-        self.applied_index = snapshot.index
-        self._ready.restore = snapshot
-        self._ready.writes.append(SaveSnapshot(snapshot, keep_entries=False))
-
-    def _reply_snapshot(self, chunk, offset, installed):
-        reply = SnapshotReply(
-            **self._envelope(chunk.sender),
-            index=chunk.index,
-            offset=offset,
-            installed=installed,
-            round=chunk.round,
-        )
-        self._ready.messages_after_sync.append(reply)
-
-    def _on_snapshot_reply(self, reply, now):
-        progress = self.progress.get(reply.sender)
-        if not self.is_leader or reply.term != self.term or progress is None:
-            return
-        self._acknowledge(progress, reply.round)
-        if reply.installed:
-            progress.accept(reply.index)
-            progress.next_index = max(progress.next_index, reply.index + 1)
-            self._advance_commit()
-            self._after_progress(reply.sender, now)
-        elif reply.index == progress.snapshot_index == self.log.snapshot_index:
-            progress.snapshot_offset = reply.offset
-            self._send_chunk(reply.sender, now)
-
     # ---- helpers ----
 
     def _envelope(self, to, term=None):
--- /dev/null
+++ b/traystall/consensus/snapshots.py
@@ -0,0 +1,104 @@
+"""Transfer of snapshots between replicas, a chunk at a time.
+
+A part of `Replica`, which holds the state that these methods read and change.
+"""
+
+from traystall.consensus.models import SaveSnapshot, Snapshot, decode_members, encode_members
+from traystall.rpc.gen.wire.ttypes import SnapshotChunk, SnapshotReply
+
+SNAPSHOT_CHUNK_BYTES = 256 * 1024
+
+
+class SnapshotTransfer:
+    """Send a snapshot to a peer that lacks the log's beginning, and take one in."""
+
+    def _send_snapshot(self, peer, now):
+        progress = self.progress[peer]
+        snapshot = self.log.snapshot
+        if progress.snapshot_index != snapshot.index:
+            progress.snapshot_index = snapshot.index
+            progress.snapshot_offset = 0
+        elif now < progress.snapshot_sent_at + self.timing.heartbeat:
+            return
+        self._send_chunk(peer, now)
+
+    def _send_chunk(self, peer, now):
+        progress = self.progress[peer]
+        snapshot = self.log.snapshot
+        end = progress.snapshot_offset + SNAPSHOT_CHUNK_BYTES
+        progress.snapshot_sent_at = now
+        self._ready.messages.append(
+            SnapshotChunk(
+                **self._envelope(peer),
+                index=snapshot.index,
+                index_term=snapshot.term,
+                members=encode_members(snapshot.members),
+                offset=progress.snapshot_offset,
+                data=snapshot.data[progress.snapshot_offset : end],
+                last=end >= len(snapshot.data),
+                round=self._round,
+            )
+        )
+
+    def _on_snapshot_chunk(self, chunk, now):
+        if chunk.term < self.term:
+            return
+        self._follow(chunk.sender, now)
+        if self.log.term_at(chunk.index) == chunk.index_term:
+            # The log holds this point: entries after it may have been acknowledged, so keep them.
+            self._commit_to(chunk.index)
+        if chunk.index <= self.commit_index:
+            self._reply_snapshot(chunk, offset=0, installed=True)
+            return
+        held = self._incoming_for(chunk)
+        if chunk.offset == len(held):
+            held.extend(chunk.data or b"")
+            if chunk.last:
+                self._install(chunk, bytes(held))
+                self._reply_snapshot(chunk, offset=0, installed=True)
+                return
+        self._reply_snapshot(chunk, offset=len(held), installed=False)
+
+    def _incoming_for(self, chunk):
+        if self._incoming is None or self._incoming[0] != chunk.index or chunk.offset == 0:
+            self._incoming = (chunk.index, bytearray())
+        return self._incoming[1]
+
+    def _install(self, chunk, data):
+        snapshot = Snapshot(
+            index=chunk.index,
+            term=chunk.index_term,
+            members=decode_members(chunk.members),
+            data=data,
+        )
+        self._incoming = None
+        self.log.reset(snapshot)
+        self._synced_index = snapshot.index
+        self.commit_index = snapshot.index
+        self.applied_index = snapshot.index
+        self._ready.restore = snapshot
+        self._ready.writes.append(SaveSnapshot(snapshot, keep_entries=False))
+
+    def _reply_snapshot(self, chunk, offset, installed):
+        reply = SnapshotReply(
+            **self._envelope(chunk.sender),
+            index=chunk.index,
+            offset=offset,
+            installed=installed,
+            round=chunk.round,
+        )
+        self._ready.messages_after_sync.append(reply)
+
+    def _on_snapshot_reply(self, reply, now):
+        progress = self.progress.get(reply.sender)
+        if not self.is_leader or reply.term != self.term or progress is None:
+            return
+        self._acknowledge(progress, reply.round)
+        if reply.installed:
+            progress.accept(reply.index)
+            progress.next_index = max(progress.next_index, reply.index + 1)
+            self._advance_commit()
+            self._after_progress(reply.sender, now)
+        elif reply.index == progress.snapshot_index == self.log.snapshot_index:
+            progress.snapshot_offset = reply.offset
+            self._send_chunk(reply.sender, now)
