--- a/tests/support/control_group.py
+++ b/tests/support/control_group.py
@@ -36,6 +36,7 @@
         self.addresses = {name: free_address() for name in founders}
         self._founders = tuple(founders)
         self.daemons = {}
+        self.http = {}
 
     async def start(self, name, founding=False):
         """Start a daemon on its folder, which is empty unless it ran before."""
@@ -45,7 +46,7 @@
             "instance": name,
             "data-centre": "here",
             "rpc-listen": address,
-            "http-listen": free_address(),
+            "http-listen": self.http.setdefault(name, free_address()),
             "data-folder": self._root / name,
             "join": ",".join(self._known(name)),
             **_QUICK,
@@ -109,7 +110,10 @@
 
     async def apply(self, name, number, content):
         """Send a configuration to one daemon; return its reply."""
-        entities = {"k": content}
+        return await self.apply_entities(name, number, {"k": content})
+
+    async def apply_entities(self, name, number, entities):
+        """Send a whole configuration to one daemon; return its reply."""
         request = ApplyRequest(
             number=number, digest=entities_digest(entities), entities=entities, operator="test"
         )
