Probe a data centre that is out in the background

Cause: while a data centre was cut off, each time its 1, 2 or 4 s of being left out were over, a request had to find out again by waiting 0.25 to 0.5 s.

--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -20,6 +20,7 @@
 from traystall.passthrough.gatherer import Gatherer
 from traystall.passthrough.owners import LEAVING
 from traystall.passthrough.placing import Placing
+from traystall.passthrough.probing import PlaceProber
 from traystall.passthrough.settings import SETTINGS, check_gateway
 from traystall.registry.follower import RegistryFollower
 from traystall.routes.tables import RoutingTables, Translator, translate_entities
@@ -87,6 +88,8 @@
         self._background.start(self.gateway_context.registry.follow_forever())
         self._background.start(self._pump_forever())
         self._background.start(self._reload_forever())
+        prober = PlaceProber(self.gateway_context, self._links)
+        self._background.start(prober.probe_forever())
         logger.info("started", extra={"identity": self._identity})
 
     async def until_stopped(self, stopping: asyncio.Event) -> None:
--- a/traystall/passthrough/gatherer.py
+++ b/traystall/passthrough/gatherer.py
@@ -1,8 +1,9 @@
 """Bring pieces of many gateways together, so that targets get full batches.
 
-For each pool one live gateway, the same in everyone's view, gathers the pieces
-of all. Gathering is for efficiency only: when the gatherer can't be reached or
-stops answering, a gateway calls the targets itself; a piece may be made twice.
+One live gateway, the same in everyone's view, gathers the pieces of all pools, so
+that it can tell which requests may begin. Gathering is for efficiency only: when
+the gatherer can't be reached or stops answering, a gateway calls the targets
+itself; a piece may be made twice.
 """
 
 import asyncio
@@ -48,7 +49,7 @@
 
 
 class Gatherer:
-    """Send pieces to the gatherer of their pool, or gather them here."""
+    """Send pieces to the gateway that gathers, or gather them here."""
 
     def __init__(self, context: PassContext, links: LinkPool):
         self._context = context
--- a/traystall/passthrough/places.py
+++ b/traystall/passthrough/places.py
@@ -9,6 +9,10 @@
 _WITHIN_SECONDS = 2.0
 _FIRST_SECONDS = 1.0
 _MAX_SECONDS = 4.0
+# Background probes without an answer keep a data centre out for so long more, and for so long
+# in all: its gateways may be lost while its targets are there.
+_EXTEND_SECONDS = 1.2
+_MAX_EXTENDED_SECONDS = 12.0
 
 
 class DataCentreWatch:
@@ -19,6 +23,19 @@
         self._silent: dict[str, dict[str, float]] = {}
         self._out_until: dict[str, float] = {}
         self._times_out: dict[str, int] = {}
+        self._out_since: dict[str, float] = {}
+
+    def suspected(self) -> list[str]:
+        """Return the data centres that have been out and were not heard of since."""
+        return list(self._times_out)
+
+    def extend(self, data_centre: str, now: float) -> None:
+        """Keep a data centre out: nobody there has answered a probe."""
+        since = self._out_since.get(data_centre)
+        if since is None or now - since > _MAX_EXTENDED_SECONDS:
+            return
+        until = self._out_until.get(data_centre, float("-inf"))
+        self._out_until[data_centre] = max(until, now + _EXTEND_SECONDS)
 
     def on_silent(self, data_centre: str, peer: str, now: float) -> None:
         """Note that a peer did not answer at all."""
@@ -35,6 +52,7 @@
             seconds = min(_MAX_SECONDS, _FIRST_SECONDS * 2**again)
             self._out_until[data_centre] = now + seconds
             self._times_out[data_centre] = again + 1
+            self._out_since.setdefault(data_centre, now)
             peers.clear()
 
     def on_heard(self, data_centre: str) -> None:
@@ -42,6 +60,7 @@
         self._silent.pop(data_centre, None)
         self._out_until.pop(data_centre, None)
         self._times_out.pop(data_centre, None)
+        self._out_since.pop(data_centre, None)
 
     def is_out(self, data_centre: str, now: float) -> bool:
         """Return whether a data centre is taken for cut off."""
