Let a request wait a moment at the door

Cause: arrivals come in clumps; a request that could be in time a moment later was refused at once. Now it may wait a fifth of its aim, holding nothing, with its slack shrinking; a refusal still comes within a quarter of the aim.

--- a/tests/passthrough/test_admission.py
+++ b/tests/passthrough/test_admission.py
@@ -51,8 +51,9 @@
     book = AdmissionBook()
     pieces = 20
     assert not book.admit(arrival("a", mark="m"), waiting, RATES, 0.0).admitted
+    book.refuse("m", 0.0)
     again = book.admit(arrival("b", mark="m"), waiting, RATES, 1.0)
-    assert not again.admitted and again.must_wait
+    assert not again.admitted and again.came_back
     assert book.to_come("q", 1) == 0, "it holds nothing while it waits"
     pieces = 9
     assert not book.admit(arrival("b", mark="m"), waiting, RATES, 1.1).admitted
--- a/traystall/passthrough/admission.py
+++ b/traystall/passthrough/admission.py
@@ -3,9 +3,9 @@
 The gateway that gathers the pieces of all pools knows what waits in each and
 what the requests that have begun will still ask of it. A request that could not
 be in time is refused at once, while that is worth something to its caller;
-those that have begun go through, because what they hold would be lost. One that
-comes back and still finds no room waits, holding nothing, until there is plenty:
-it is served when the rush is over, rather than sent away for good.
+those that have begun go through, because what they hold would be lost. A request
+may wait a moment at the door, holding nothing. One that comes back may wait
+longer there: it is served when the rush is over, rather than sent away for good.
 """
 
 import msgspec
@@ -70,7 +70,7 @@
     admitted: bool
     wait: float
     retry_after: float = 0.0
-    must_wait: bool = False
+    came_back: bool = False
 
 
 class _Chain(msgspec.Struct):
@@ -107,14 +107,16 @@
         came_back = arrival.mark in self._refused
         limit = _limit(arrival) * (_RETURN_PART if came_back else 1.0)
         if wait > limit:
-            self._refused[arrival.mark] = now
-            retry_after = _retry_after(arrival, wait)
-            return Verdict(False, wait, retry_after, must_wait=came_back)
+            return Verdict(False, wait, _retry_after(arrival, wait), came_back)
         self._chains[arrival.request_id] = _Chain(arrival, now, raw_wait)
         for pool, count in arrival.demand().items():
             self._forecast(pool).note(arrival.priority, count, now)
         return Verdict(True, wait)
 
+    def refuse(self, mark: str, now: float) -> None:
+        """Note that a request was refused for good; it is known when it comes back."""
+        self._refused[mark] = now
+
     def asked(self, request_id: str, stage: int) -> None:
         """Note that the pieces of a stage were asked for: they now wait in their queue."""
         chain = self._chains.get(request_id)
--- a/traystall/passthrough/gatherer.py
+++ b/traystall/passthrough/gatherer.py
@@ -40,8 +40,9 @@
 # Results to be given up are collected this long, in seconds.
 _FREE_SECONDS = 0.01
 _FREE_TIMEOUT = 1.0
-# The part of the time left in which a request that came back has to be let in, and how often
-# that is asked, in seconds.
+# The part of the aim that a request may wait to be let in, the part of the time left for one
+# that came back, and how often that is asked, in seconds.
+_DOOR_PART = 0.2
 _WAIT_PART = 0.4
 _ASK_SECONDS = 0.05
 
@@ -201,26 +202,56 @@
     # ---- this gateway gathers ----
 
     async def _let_in(self, request) -> Verdict:
-        """Return the verdict on a request; one that came back may wait for it."""
-        verdict = self._admit(request)
-        if not verdict.must_wait:
+        """Return the verdict on a request, which may wait a while at the door for it."""
+        verdict = self._admit(request, 0.0)
+        if verdict.admitted:
             return verdict
         began = clock.monotonic()
-        patience = (request.seconds_left or 0.0) * _WAIT_PART
+        patience = self._patience(request, verdict.came_back)
+        waited = 0.0
         self._wait_for_room.add(request.call_id)
         try:
-            while verdict.must_wait and request.call_id in self._wait_for_room:
+            while not verdict.admitted and request.call_id in self._wait_for_room:
+                if waited + _ASK_SECONDS > patience:
+                    self._refuse(request, verdict, waited)
+                    break
                 await asyncio.sleep(_ASK_SECONDS)
                 waited = clock.monotonic() - began
-                if waited > patience:
-                    break
-                verdict = self._admit(request)
+                verdict = self._admit(request, waited)
         finally:
             self._wait_for_room.discard(request.call_id)
-        request.seconds_left -= clock.monotonic() - began
+        request.seconds_left -= waited
+        request.seconds_to_start -= waited
         return verdict
 
-    def _admit(self, request) -> Verdict:
+    def _patience(self, request, came_back) -> float:
+        """Return how long a request may wait at the door, in seconds.
+
+        A refusal within a quarter of the aim is worth most to its caller.
+        """
+        if came_back:
+            return (request.seconds_left or 0.0) * _WAIT_PART
+        route = self._context.index.named(request.route)
+        return route.aim * _DOOR_PART if route is not None else 0.0
+
+    def _refuse(self, request, verdict, waited):
+        self._book.refuse(request.mark or "", clock.monotonic())
+        decision(
+            "not-admitted",
+            request=request.request_id,
+            route=request.route,
+            wait=round(verdict.wait, 3),
+            slack=round((request.seconds_to_start or 0.0) - waited, 3),
+            waited=round(waited, 3),
+            came_back=verdict.came_back,
+            rates={
+                name: round(queue.rate(clock.monotonic()), 1)
+                for name, queue in self._queues.items()
+            },
+            retry_after=round(verdict.retry_after, 3),
+        )
+
+    def _admit(self, request, waited) -> Verdict:
         route = self._context.index.named(request.route)
         if route is None or len(request.counts or ()) != len(route.stages):
             return Verdict(True, 0.0)
@@ -230,24 +261,13 @@
             route=route,
             counts=tuple(request.counts),
             priority=request.priority or 0,
-            slack=request.seconds_to_start or 0.0,
-            seconds_left=request.seconds_left or 0.0,
+            slack=(request.seconds_to_start or 0.0) - waited,
+            seconds_left=(request.seconds_left or 0.0) - waited,
             mark=request.mark or "",
         )
         pools = {stage.pool for stage in route.stages}
         rates = {pool: self._queue(pool).rate(now) for pool in pools}
-        verdict = self._book.admit(arrival, self._waiting, rates, now)
-        if not verdict.admitted and not verdict.must_wait:
-            decision(
-                "not-admitted",
-                request=request.request_id,
-                route=route.name,
-                wait=round(verdict.wait, 3),
-                slack=round(arrival.slack, 3),
-                rates={pool: round(rate, 1) for pool, rate in rates.items()},
-                retry_after=round(verdict.retry_after, 3),
-            )
-        return verdict
+        return self._book.admit(arrival, self._waiting, rates, now)
 
     def _waiting(self, pool, priority):
         return self._queue(pool).waiting(priority)
