Close idle connections in a stop, refuse what crosses the close, answer what has no answer at its end

Cause: after the balancer's notice a stopping gateway closed its listening socket only.

Ruled out: the length of the drain (a stream taken 6.2 s into the grace can't end in it, however it is cut up); the server's own pre_shutdown, which ends the task of an idle connection but leaves its socket open: a request that came then would wait for ever (seen in the new test before the sockets were closed).

Change: passthrough/drain.py takes a front through notice, close and end. At the close idle connections are closed, busy ones after their answer, and what crosses is refused as not run with a time to come back. At the end whoever has no answer gets one: 503 where nothing was sent to a target, 504 otherwise.

--- a/tests/support/emulator/gateway.py
+++ b/tests/support/emulator/gateway.py
@@ -112,12 +112,12 @@
         self.context.board.merge(report, clock.monotonic())
 
     async def __aenter__(self):
-        server = web.Server(self.front.handle, access_log=None, handler_cancellation=True)
-        self._runner = web.ServerRunner(server)
+        self.server = web.Server(self.front.handle, access_log=None, handler_cancellation=True)
+        self._runner = web.ServerRunner(self.server)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0)
-        await site.start()
-        self.port = site._server.sockets[0].getsockname()[1]
+        self.site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await self.site.start()
+        self.port = self.site._server.sockets[0].getsockname()[1]
         self.session = aiohttp.ClientSession(auto_decompress=False)
         return self
 
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -16,6 +16,7 @@
 from traystall.passthrough.budget import BudgetRule
 from traystall.passthrough.context import PassContext
 from traystall.passthrough.dialect import HeaderNames, PlainStageDialect, StageDialect
+from traystall.passthrough.drain import Drain
 from traystall.passthrough.front import PassFront
 from traystall.passthrough.gatherer import Gatherer
 from traystall.passthrough.owners import LEAVING
@@ -98,10 +99,8 @@
         await daemon.first_of(stopping, self._background.failed)
         logger.info("draining", extra={"in_flight": self._front.in_flight})
         self._state = "draining"
-        self._front.draining = True
-        await asyncio.sleep(self.settings.drain_notice)
-        await self._site.stop()
-        await self._front.drain(self.settings.drain_limit)
+        drain = Drain(self._front, self._web_server, self._site.stop)
+        await drain.run(self.settings.drain_notice, self.settings.drain_limit)
         await self.gateway_context.gatherer.drain(_GATHERED_SECONDS)
         logger.info("drained", extra={"in_flight": self._front.in_flight})
 
@@ -218,7 +217,7 @@
 
     async def _start_front(self):
         self._front = PassFront(self.gateway_context)
-        server = web.Server(
+        self._web_server = web.Server(
             self._front.handle,
             access_log=None,
             handler_cancellation=True,
@@ -226,7 +225,7 @@
             max_line_size=_MAX_HEADER_BYTES,
             max_field_size=_MAX_HEADER_BYTES,
         )
-        self._runner = web.ServerRunner(server, shutdown_timeout=_CLOSE_SECONDS)
+        self._runner = web.ServerRunner(self._web_server, shutdown_timeout=_CLOSE_SECONDS)
         await self._runner.setup()
         self._site = await _listen(self._runner, self.settings.listen)
         self._health = None
--- a/traystall/passthrough/front.py
+++ b/traystall/passthrough/front.py
@@ -4,10 +4,12 @@
 import logging
 
 from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 
 from traystall.core import clock, metrics
 from traystall.core.logs import decision
 from traystall.passthrough.context import PassContext
+from traystall.passthrough.drain import Phase
 from traystall.passthrough.exceptions import Refusal
 from traystall.passthrough.messages import CallerRequest
 from traystall.passthrough.request import PassRequest
@@ -18,6 +20,8 @@
 NOT_READY_RETRY_AFTER = 0.5
 # A gateway that has just started lets requests wait this long, in seconds, for the routes.
 _START_SECONDS = 0.8
+# Another gateway takes a request that this one refuses because it stops, so soon, in seconds.
+STOPPING_RETRY_AFTER = 0.05
 
 logger = logging.getLogger(__name__)
 
@@ -28,32 +32,55 @@
     def __init__(self, context: PassContext):
         self._context = context
         self._runner = PassRunner(context)
-        self.in_flight = 0
-        self.draining = False
+        # Connections whose request has no whole answer yet: each has one request at a time.
+        self._busy: set[RequestHandler] = set()
+        self.phase = Phase.SERVING
+        self._running: set[PassRequest] = set()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; every path ends in one whole answer or a broken connection."""
-        self.in_flight += 1
+        self._busy.add(request.protocol)
         try:
             response = await self._answer(request)
         except Refusal as refusal:
             response = self._refuse(request, refusal)
         finally:
-            self.in_flight -= 1
-        if self.draining:
+            self._busy.discard(request.protocol)
+        if self.phase is not Phase.SERVING:
             response.force_close()
         return response
 
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests have no whole answer yet."""
+        return len(self._busy)
+
+    def busy_connections(self) -> set[RequestHandler]:
+        """Return the connections on which a request waits for its answer."""
+        return set(self._busy)
+
     async def drain(self, seconds: float) -> None:
         """Return once nothing is in flight, or after `seconds`."""
         deadline = clock.monotonic() + seconds
         while self.in_flight and clock.monotonic() < deadline:
             await asyncio.sleep(0.02)
 
+    def end_unanswered(self) -> int:
+        """Give every request that still waits its final answer now; return how many do.
+
+        A stream that has begun can't be answered any more: it goes on until the process ends.
+        """
+        waiting = [passed for passed in self._running if passed.end_now()]
+        if waiting:
+            logger.info("unanswered at the end of a stop", extra={"requests": len(waiting)})
+        return len(waiting)
+
     async def _answer(self, request):
         started = clock.monotonic()
+        if self.phase is Phase.CLOSED:
+            raise Refusal(503, "stopping", "This gateway stops.", STOPPING_RETRY_AFTER)
         index = self._context.index
-        if not index.number and not self.draining:
+        if not index.number and self.phase is Phase.SERVING:
             await self._context.wait_for_configuration(_START_SECONDS)
             index = self._context.index
         if not index.number:
@@ -76,9 +103,11 @@
             self._context.names,
             started,
         )
+        self._running.add(passed)
         try:
             return await self._runner.run(request, passed)
         finally:
+            self._running.discard(passed)
             self._log(passed)
 
     def _customer(self, request, route):
--- a/traystall/passthrough/request.py
+++ b/traystall/passthrough/request.py
@@ -1,5 +1,7 @@
 """One request on its way through a gateway: what it asks, its deadline, what became of it."""
 
+import asyncio
+
 from traystall.core import clock
 from traystall.passthrough.choice import Prompt, parse_prompt
 from traystall.passthrough.dialect import HeaderNames
@@ -50,6 +52,8 @@
             self.piece_counts[index] * route.stages[index].result_bytes
             for index in route.final_stages()
         )
+        # Ends it when its time is over; set while it runs.
+        self.time_limit: asyncio.Timeout | None = None
         # What became of it.
         self.attempts = 0
         self.tried: set[str] = set()
@@ -106,6 +110,13 @@
             extra["Last-Event-Id"] = last_event_id
         return self.writer.write(extra)
 
+    def end_now(self) -> bool:
+        """End the request as if its time were over; False if its answer has begun."""
+        if self.events or self.time_limit is None:
+            return False
+        self.time_limit.reschedule(asyncio.get_running_loop().time())
+        return True
+
     def note_event(self, now: float) -> None:
         """Record that an event was passed on."""
         self.events += 1
--- a/traystall/passthrough/runner.py
+++ b/traystall/passthrough/runner.py
@@ -62,7 +62,7 @@
         sink = StreamSink(request, passed)
         self._context.budget(passed.pool).on_request(clock.monotonic())
         try:
-            async with asyncio.timeout(max(0.0, passed.remaining())):
+            async with asyncio.timeout(max(0.0, passed.remaining())) as passed.time_limit:
                 return await self._run_chains(passed, sink)
         except TimeoutError:
             if sink.is_open:
