Make stages where their inputs lie; let heavy pieces cross only where that makes them in time

Every stage was drawn to the engine's data centre, though only the last and the heavy ones are read there, and in a crowd any target took anything.

Change: passthrough/homes.py works out a home for each stage from where its inputs lie and who reads its results; a stage that reads little has none and is made wherever a target is free, the next one follows it, and what waits of a stage that was begun is bound to its data centre. Heavy pieces stay at home unless that makes them late; how long they wait there counts what goes before them at that data centre's rate.

Also mended, the two open findings: a gatherer gets 0.3 s to say that a stage is too late before it is taken for silent (test fails without), and the error of a call that nobody awaits is taken note of (test fails on the old code).

--- a/tests/passthrough/test_owners.py
+++ b/tests/passthrough/test_owners.py
@@ -1,11 +1,17 @@
 """One gateway owns a key in everyone's view, and ownership moves seldom."""
 
+import asyncio
+
+import msgspec
 import pytest
 
+from tests.support.emulator.gateway import STAGES, EmulatedGateway, run, table
 from traystall.core import clock
 from traystall.core.exceptions import RpcRefused, RpcTimeout
 from traystall.passthrough.owners import LEAVING, Owners, rank
 from traystall.passthrough.places import DataCentreWatch
+from traystall.rpc.gen.wire import ttypes
+from traystall.rpc.server import RpcServer
 from traystall.tables.gateways import GatewayRow
 
 
@@ -103,3 +109,36 @@
     assert owner_of(owners, context) == context.identity
     context.places.on_heard("here")
     assert owner_of(owners, context) in order[2:]
+
+
+def test_gatherer_that_says_it_is_too_late_at_the_last_moment_is_not_blamed():
+    """A stage that can't be made in time ends at both ends at once: its answer is waited for."""
+
+    async def play():
+        gatherer_seconds = []
+
+        async def answer(request):
+            if isinstance(request, ttypes.PingRequest):
+                return ttypes.PingReply(identity="owner/1")
+            gatherer_seconds.append(request.seconds_left)
+            # A little after the caller's own time is over, as over a link with a delay.
+            await asyncio.sleep(request.seconds_left + 0.05)
+            return ttypes.StageReply(handles=[""], reasons=["late"], retry_after=0.0)
+
+        server = RpcServer("127.0.0.1:0", "test", "", answer)
+        await server.start()
+        address = "{}:{}".format(*server._server.sockets[0].getsockname())
+        async with EmulatedGateway(table(stages=STAGES), []) as gateway:
+            owner = msgspec.structs.replace(row("owner"), rpc_address=address)
+            blamed = []
+            gateway.context.owners.owner = lambda key, near="": owner
+            gateway.context.owners.on_error = lambda *found: blamed.append(found)
+            request = ttypes.StageRequest(
+                pool="batches", request_id="r", stage=0, pieces=[0], seconds_left=0.2, call_id="c"
+            )
+            reply = await gateway.context.gatherer.run(request)
+        await server.stop()
+        return reply, blamed, gatherer_seconds
+
+    reply, blamed, seconds = run(play())
+    assert (reply.reasons, blamed, seconds) == (["late"], [], [0.2])
--- a/tests/rpc/test_links.py
+++ b/tests/rpc/test_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 
 import pytest
 from hypothesis import given, settings
@@ -26,6 +27,13 @@
         """Nothing to close."""
 
 
+class OpenWriter(ClosedWriter):
+    """Take everything and send nothing."""
+
+    def write(self, data):
+        """Forget it."""
+
+
 @pytest.mark.parametrize("call", [True, False], ids=["call", "send"])
 def test_write_on_a_closed_transport_is_unavailable(call):
     async def scenario():
@@ -38,6 +46,28 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("ends", ["its own frame breaks the link", "its caller is cancelled"])
+def test_error_of_a_call_that_nobody_awaits_is_not_reported_as_lost(ends):
+    reported = []
+
+    async def scenario():
+        asyncio.get_running_loop().set_exception_handler(lambda _, found: reported.append(found))
+        link = Link("127.0.0.1:1", LinkIdentity("c", "gateway", "g"))
+        link._writer = ClosedWriter() if ends.startswith("its own") else OpenWriter()
+        call = asyncio.create_task(link.call(ProbeRequest(), 5.0))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        if not ends.startswith("its own"):
+            link._drop(RpcUnavailable("broken"))
+            call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+        gc.collect()
+
+    asyncio.run(scenario())
+    gc.collect()
+    assert reported == []
+
+
 async def serve(handler, secret=""):
     """Return a started server on a free port and its address."""
     server = RpcServer("127.0.0.1:0", "cluster", secret, handler)
--- a/traystall/passthrough/batching.py
+++ b/traystall/passthrough/batching.py
@@ -1,5 +1,7 @@
 """Decide which pieces a free target gets. Pure; times are monotonic seconds, sizes bytes."""
 
+from collections import Counter
+
 import msgspec
 
 from traystall.routes.models import BatchProfile
@@ -10,13 +12,13 @@
 _CROWDED_PART = 0.4
 # A stage that needs more than this part of a target's whole room is not made at one target.
 _WHOLE_PART = 0.8
-# A piece goes to a target outside the data centre where its result is read only when it has
-# to begin within this time, or where waiting for a target at home costs more than what would
-# cross: so many bytes count as much as a second. A piece that moves more than this waits as long
-# as it is in time by so much.
-_PRESSING_SECONDS = 0.1
+# Bytes that cross data centres count as much as waiting, so many as a second (measured: more and
+# less were tried, docs/design/platform-rounds.md, "Tried and dropped").
 _BYTES_PER_SECOND = 10_000_000
+# A stage that moves more than this stays at home as long as it is in time by _SLACK_SECONDS,
+# and once it is late; one that moves less goes away when it has to begin within _PRESSING_SECONDS.
 _HEAVY_BYTES = 300_000
+_PRESSING_SECONDS = 0.1
 _SLACK_SECONDS = 0.15
 
 
@@ -41,9 +43,12 @@
     tries: int = 0
     # Data centres in which the result may be; none means anywhere.
     places: tuple[str, ...] = ()
-    # What crosses data centres if it is made away from there: its inputs, and its result as
-    # often as it is read.
+    # What crosses data centres if it is made away from `data_centre`, and if it is made in
+    # another one than the rest of its stage.
     away_bytes: int = 0
+    apart_bytes: int = 0
+    # The pools whose targets will read its result.
+    next_pools: tuple[str, ...] = ()
 
 
 def order_key(job: PieceJob, now: float) -> tuple:
@@ -68,32 +73,67 @@
 class FreeTarget(msgspec.Struct, frozen=True):
     """Describe the target to be called: where it is, and what else the pool has.
 
-    `home_waits` holds how long each data centre's next target is still at work, in
-    seconds; a data centre that is not named has none.
+    `makers` are all targets of the pool, `home_waits` how long the next of them
+    in each data centre is still at work, in seconds, and `home_rates` how many
+    pieces a second they make there; a data centre that is not named has none.
+    `lacks` names pools that have no target in this data centre.
     """
 
     data_centre: str = ""
     makers: int = 1
     home_waits: dict[str, float] = {}
-
-    def moves_too_much(self, job: PieceJob, now: float) -> bool:
-        """Return whether it is better to wait for a target where a piece's result is read."""
-        if not job.data_centre or job.data_centre == self.data_centre:
-            return False
-        wait = self.home_waits.get(job.data_centre, float("inf"))
-        if job.away_bytes > wait * _BYTES_PER_SECOND:
-            return True
-        return job.away_bytes >= _HEAVY_BYTES and now + wait + _SLACK_SECONDS < job.due
-
-
-def may_go(job: PieceJob, target: FreeTarget, crowded: bool, now: float) -> bool:
-    """Return whether a target may make a piece now.
-
-    Results that cross data centres cost more than some waiting.
+    home_rates: dict[str, float] = {}
+    lacks: frozenset[str] = frozenset()
+
+    def is_home(self, job: PieceJob) -> bool:
+        """Return whether nothing speaks for making a piece in another data centre."""
+        if job.data_centre:
+            return job.data_centre == self.data_centre
+        return not self.lacks.intersection(job.next_pools)
+
+    def crossing_bytes(self, jobs: list[PieceJob]) -> int:
+        """Return what pieces of one stage move between data centres if they are made here."""
+        if self.is_home(jobs[0]):
+            return 0
+        if jobs[0].data_centre:
+            return sum(job.away_bytes for job in jobs)
+        return sum(job.apart_bytes for job in jobs)
+
+    def home_wait(self, job: PieceJob, ahead: Counter[str]) -> float:
+        """Return how long a piece waits where it is best made; inf if nobody makes it there.
+
+        `ahead` counts the pieces that go before it in each data centre.
+        """
+        if job.data_centre:
+            return self._wait_in(job.data_centre, ahead)
+        others = [place for place in self.home_waits if place != self.data_centre]
+        return min((self._wait_in(place, ahead) for place in others), default=float("inf"))
+
+    def _wait_in(self, data_centre, ahead):
+        wait = self.home_waits.get(data_centre, float("inf"))
+        rate = self.home_rates.get(data_centre, float("inf"))
+        return wait + ahead[data_centre] / rate if ahead[data_centre] else wait
+
+
+def may_go(
+    jobs: list[PieceJob], target: FreeTarget, ahead: Counter[str], crowded: bool, now: float
+) -> bool:
+    """Return whether a target may make the waiting pieces of one stage now.
+
+    Results that cross data centres cost more than some waiting. Once a stage is late,
+    to let much cross helps nobody: it waits for its home, if not for too long.
     """
-    if job.places and target.data_centre not in job.places:
+    first = jobs[0]
+    if first.places and target.data_centre not in first.places:
         return False
-    return crowded or job.due < now + _PRESSING_SECONDS or not target.moves_too_much(job, now)
+    crossing = target.crossing_bytes(jobs)
+    wait = target.home_wait(first, ahead)
+    if not crossing or crossing <= wait * _BYTES_PER_SECOND:
+        return True
+    if crossing < _HEAVY_BYTES:
+        return crowded or first.due < now + _PRESSING_SECONDS
+    late_anyway = first.due < now - _LOST_SECONDS
+    return not late_anyway and first.due <= now + wait + _SLACK_SECONDS
 
 
 def take_batch(
@@ -116,12 +156,15 @@
     crowded = len(live) > profile.batch * target.makers * _CROWDED_PART
     ranked = sorted(live, key=lambda job: (job.call_id not in started, *order_key(job, now)))
     if crowded and target.data_centre:
-        ranked = _home_first(ranked, profile.batch, target, now)
+        ranked = _home_first(ranked, profile.batch, target)
     batch: list[PieceJob] = []
+    # Pieces that were left for the targets of their data centre.
+    ahead: Counter[str] = Counter()
     for jobs in _by_call(ranked):
         if len(batch) == profile.batch:
             break
-        if not may_go(jobs[0], target, crowded, now):
+        if not may_go(jobs, target, ahead, crowded, now):
+            ahead[jobs[0].data_centre] += len(jobs)
             continue
         taken = _that_fit(jobs, profile, room, jobs[0].call_id in started)
         taken = taken[: profile.batch - len(batch)]
@@ -152,8 +195,8 @@
     return calls.values()
 
 
-def _home_first(ranked, batch, target, now):
-    """Return the next two calls' worth of pieces with those read here before the others."""
+def _home_first(ranked, batch, target):
+    """Return the next two calls' worth of pieces with those at home here before the others."""
     head, rest = ranked[: 2 * batch], ranked[2 * batch :]
-    head.sort(key=lambda job: target.moves_too_much(job, now))
+    head.sort(key=lambda job: not target.is_home(job))
     return head + rest
--- a/traystall/passthrough/gatherer.py
+++ b/traystall/passthrough/gatherer.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import logging
+from collections import Counter
+from itertools import islice
 
 from traystall.core import clock
 from traystall.core.exceptions import RpcError
@@ -17,6 +19,7 @@
 from traystall.passthrough.cells import WHOLE, cell_of
 from traystall.passthrough.context import PassContext
 from traystall.passthrough.exceptions import ExchangeError
+from traystall.passthrough.homes import StageHome, home_of_stage
 from traystall.passthrough.owners import gathering_key
 from traystall.passthrough.piece_calls import request_bytes
 from traystall.passthrough.piece_queue import PieceQueue
@@ -38,6 +41,9 @@
 _PING_SECONDS = 0.15
 # Longer than a lost packet takes to be sent again: loss alone must not move the ownership.
 _PING_TIMEOUT = 0.35
+# A gatherer that ends a stage because its time is over is given so long, in seconds, to say so:
+# some times what a lost packet takes to be sent again on a link of 1.4 ms. Chosen, not measured.
+_REPLY_SECONDS = 0.3
 # Results to be given up are collected this long, in seconds.
 _FREE_SECONDS = 0.01
 _FREE_TIMEOUT = 1.0
@@ -97,12 +103,30 @@
             )
         book = self._book(cell)
         book.asked(request.request_id, request.stage)
-        reply = await self._queue(cell, request.pool).run(request)
+        reply = await self._queue(cell, request.pool).run(request, self._home(request))
         if all(reply.handles):
             now = clock.monotonic()
             book.made(request.request_id, request.stage, self._usual_seconds(request), now)
         return reply
 
+    def _home(self, request) -> StageHome:
+        """Return where a stage is best made, by where its inputs lie and who reads its results."""
+        route = self._context.index.named(request.route)
+        counts = request.counts or []
+        if route is None or len(counts) != len(route.stages):
+            return StageHome(request.data_centre or "", request.away_bytes or 0)
+        inputs: Counter[str] = Counter()
+        handles = iter(request.inputs or ())
+        for earlier in route.stages[request.stage].after:
+            for handle in islice(handles, counts[earlier]):
+                inputs[self._place_of(handle)] += route.stages[earlier].result_bytes
+        del inputs[""]  # The makers of these are gone or not known here.
+        return home_of_stage(route.stages, counts, request.stage, inputs, request.data_centre or "")
+
+    def _place_of(self, handle) -> str:
+        view = self._context.board.at_address(self._context.stage_dialect.maker(handle))
+        return view.report.data_centre if view is not None else ""
+
     def _usual_seconds(self, request) -> float:
         """Return how long the longest chain of a request takes without waiting."""
         route = self._context.index.named(request.route)
@@ -176,7 +200,8 @@
 
     async def _run_at(self, owner, request):
         link = self._links.link(owner.rpc_address)
-        call = asyncio.create_task(link.call(request, max(0.1, request.seconds_left)))
+        seconds = max(0.1, request.seconds_left) + _REPLY_SECONDS
+        call = asyncio.create_task(link.call(request, seconds))
         watch = asyncio.create_task(self._watch(link))
         try:
             await asyncio.wait({call, watch}, return_when=asyncio.FIRST_COMPLETED)
--- a/traystall/passthrough/piece_queue.py
+++ b/traystall/passthrough/piece_queue.py
@@ -10,6 +10,7 @@
 from traystall.passthrough.cells import WHOLE
 from traystall.passthrough.dialect import PieceResult
 from traystall.passthrough.exceptions import ExchangeError
+from traystall.passthrough.homes import StageHome
 from traystall.passthrough.makers import SLOW_RATIO, Maker, overdue_after
 from traystall.passthrough.piece_calls import FULL, UNREACHABLE, call_maker
 from traystall.passthrough.room_watch import RoomWatch
@@ -60,14 +61,14 @@
         self._since = clock.monotonic()
         self._room_watch = RoomWatch(context, self.pump)
 
-    async def run(self, request: StageRequest) -> StageReply:
+    async def run(self, request: StageRequest, home: StageHome) -> StageReply:
         """Return once all pieces of a call are made, or it is clear that they won't be."""
         now = clock.monotonic()
         count = len(request.pieces)
         call = _Call([""] * count, [""] * count, asyncio.get_running_loop().create_future())
         self._calls[request.call_id] = call
         self._context.budget(self._pool).on_request(now)
-        self._waiting += [_to_job(request, piece, now) for piece in request.pieces]
+        self._waiting += [_to_job(request, home, piece, now) for piece in request.pieces]
         self.pump()
         try:
             async with asyncio.timeout(max(0.0, request.seconds_left)):
@@ -104,11 +105,7 @@
         profile = self._profile()
         if profile is None:
             return 0.0
-        seconds = max(0.001, profile.seconds(profile.batch))
-        makers = [self._maker(view) for view in self._usable()]
-        called = sum(profile.slots * profile.batch / seconds / maker.ratio for maker in makers)
-        held = sum(maker.book.rate(profile.room_bytes, seconds, now) for maker in makers)
-        return min(called, held)
+        return _rate([self._maker(view) for view in self._usable()], profile, now)
 
     def pump(self) -> None:
         """Give every free target its next call."""
@@ -116,11 +113,12 @@
         if profile is None or not self._waiting:
             return
         now = clock.monotonic()
-        home_waits = self._home_waits(profile, now)
+        home_waits, home_rates = self._home_waits(profile, now), self._home_rates(profile, now)
         makers = len(self._usable())
         for view, maker in self._free_makers(profile, now):
             room = profile.room_bytes * maker.book.share - maker.book.taken(now)
-            target = FreeTarget(view.report.data_centre, makers, home_waits)
+            place = view.report.data_centre
+            target = FreeTarget(place, makers, home_waits, home_rates, self._lacks(place))
             started = frozenset(name for name, call in self._calls.items() if call.started)
             batch = take_batch(self._waiting, profile, room, now, target, started)
             if batch:
@@ -148,6 +146,22 @@
             waits[place] = min(wait, waits.get(place, wait))
         return waits
 
+    def _home_rates(self, profile, now) -> dict[str, float]:
+        """Return for each data centre how many pieces a second its targets make."""
+        makers: dict[str, list[Maker]] = {}
+        for view in self._usable():
+            makers.setdefault(view.report.data_centre, []).append(self._maker(view))
+        return {place: _rate(found, profile, now) for place, found in makers.items()}
+
+    def _lacks(self, data_centre) -> frozenset[str]:
+        """Return the pools that will read results and have no target in a data centre."""
+        pools = {name for job in self._waiting for name in job.next_pools}
+        return frozenset(
+            name
+            for name in pools
+            if all(v.report.data_centre != data_centre for v in self._context.usable(name))
+        )
+
     def _free_makers(self, profile, now):
         """Return the targets to call now, the fastest first."""
         known = [(view, self._maker(view)) for view in self._usable()]
@@ -166,6 +180,7 @@
     def _begin(self, view, maker, batch, profile, now):
         taken = set(map(id, batch))
         self._waiting = [job for job in self._waiting if id(job) not in taken]
+        self._keep_together(batch, view.report.data_centre)
         for job in batch:
             if job.call_id in self._calls:
                 self._calls[job.call_id].started = True
@@ -174,6 +189,14 @@
         maker.began(now, size, profile.seconds(len(batch)))
         self._spawn(self._call(view, maker, batch, profile, size))
 
+    def _keep_together(self, batch, data_centre):
+        """Bind what waits of the stages in a batch to the data centre where they were begun."""
+        begun = {job.call_id for job in batch if job.apart_bytes}
+        for job in self._waiting:
+            if job.call_id in begun:
+                job.data_centre = data_centre
+                job.away_bytes = max(job.away_bytes, job.apart_bytes)
+
     async def _call(self, view, maker, batch, profile, size):
         began = clock.monotonic()
         expected = profile.seconds(len(batch))
@@ -282,7 +305,15 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _to_job(request, piece, now) -> PieceJob:
+def _rate(makers, profile, now) -> float:
+    """Return how many pieces a second some targets make with full calls, as far as room lasts."""
+    seconds = max(0.001, profile.seconds(profile.batch))
+    called = sum(profile.slots * profile.batch / seconds / maker.ratio for maker in makers)
+    held = sum(maker.book.rate(profile.room_bytes, seconds, now) for maker in makers)
+    return min(called, held)
+
+
+def _to_job(request, home, piece, now) -> PieceJob:
     return PieceJob(
         call_id=request.call_id,
         request_id=request.request_id,
@@ -294,7 +325,9 @@
         due=now + (request.seconds_to_start or 0.0),
         deadline=now + (request.seconds_left or 0.0),
         result_bytes=request.result_bytes or 0,
-        data_centre=request.data_centre or "",
+        data_centre=home.data_centre,
         places=tuple(request.places or ()),
-        away_bytes=request.away_bytes or 0,
+        away_bytes=home.away_bytes,
+        apart_bytes=home.apart_bytes,
+        next_pools=home.next_pools,
     )
--- a/traystall/rpc/client.py
+++ b/traystall/rpc/client.py
@@ -75,6 +75,10 @@
             reply = await future
         finally:
             self._pending.pop(call_id, None)
+            if future.done() and not future.cancelled():
+                # A caller that is cancelled, or whose own frame broke the link, does not await it:
+                # without this the loop would report the error as never retrieved.
+                future.exception()
         if reply.error:
             raise RpcRefused(reply.error, reply.detail or "")
         return decode(REPLY_TYPES[method], reply.body)
