--- /dev/null
+++ b/tests/benchmarks/test_account.py
@@ -0,0 +1,54 @@
+"""The account of a day adds up its report and reads calls and refusals from the logs."""
+
+import json
+
+import msgspec
+
+from benchmarks.account import account, decisions, fill_of_calls, refusals
+from tests.benchmarks.test_compare import BODY
+
+
+def line(message, **fields):
+    record = {"message": message, **fields}
+    return f"   0.7006 edge-hall-a-1 {json.dumps(record)}\n"
+
+
+def call(pieces, waiting, target="t-1"):
+    return line("pieces", pool="p", target=target, pieces=pieces, waiting=waiting, seconds=0.2)
+
+
+LOG = [
+    "built in 26.1 s\n",
+    "not JSON {at all\n",
+    call(7, 0),
+    call(3, 7, "t-2"),
+    call(2, 6),
+    line("not-admitted", route="r", came_back=False),
+    line("not-admitted", route="r", came_back=True),
+    line("not-admitted", route="r", came_back=True),
+]
+
+
+def test_lines_that_are_no_records_are_passed_over():
+    assert len(list(decisions(LOG))) == 6
+
+
+def test_calls_are_summed_by_pool():
+    fill = fill_of_calls(list(decisions(LOG)))["p"]
+    assert (fill.calls, fill.pieces, fill.largest) == (3, 12, 7)
+    assert fill.targets == {"t-1", "t-2"}
+    assert fill.partial_in_a_crowd() == 1
+
+
+def test_refusals_tell_first_tries_from_those_that_came_back():
+    assert refusals(list(decisions(LOG))) == {("r", False): 1, ("r", True): 2}
+
+
+def test_the_whole_account_is_printed(tmp_path, capsys):
+    (tmp_path / "r.json").write_bytes(msgspec.json.encode(BODY))
+    (tmp_path / "log.txt").write_text("".join(LOG))
+    account(tmp_path / "r.json", tmp_path / "log.txt")
+    printed = capsys.readouterr().out
+    assert "| whole day | 0.080 |" in printed
+    assert "| p | 2 | 3 | 4.0 | 7 | 1 | 1 |" in printed
+    assert "| r | 1 | 2 |" in printed
