--- a/tests/passthrough/test_decisions.py
+++ b/tests/passthrough/test_decisions.py
@@ -10,7 +10,6 @@
 from traystall.passthrough.board import TargetBoard
 from traystall.passthrough.budget import BudgetRule, RepeatBudget
 from traystall.passthrough.choice import Prompt, choose_target, parse_prompt
-from traystall.passthrough.makers import SLOW_RATIO, Maker
 from traystall.passthrough.placement import (
     EngineChoice,
     EnginePlacer,
@@ -21,6 +20,7 @@
 from traystall.passthrough.rendezvous import rendezvous_order
 from traystall.passthrough.room import RoomBook
 from traystall.passthrough.stages import away_bytes
+from traystall.passthrough.workers import SLOW_RATIO, Worker
 from traystall.registry.models import RegisteredState, TargetReport
 from traystall.routes.models import BatchProfile, StagePlan
 
@@ -75,7 +75,7 @@
 LARGE = BatchProfile(batch=8, room_bytes=HEAVY)
 
 
-def test_piece_waits_for_a_maker_where_its_result_is_read():
+def test_piece_waits_for_a_worker_where_its_result_is_read():
     job = away()
     assert take_batch([job], LARGE, HEAVY, 1.0, at("here", there=0.1)) == []
     assert take_batch([job], LARGE, HEAVY, 1.0, at("there", there=0.1)) == [job]
@@ -94,7 +94,7 @@
     assert take_batch([job], LARGE, HEAVY, 3.1, at("here", there=0.1)) == [job]
     assert take_batch([job], LARGE, HEAVY, 3.5, at("here", there=0.1)) == []
     assert take_batch([job], LARGE, HEAVY, 3.5, at("here", there=0.5)) == [job], "a long wait"
-    assert take_batch([job], LARGE, HEAVY, 3.5, at("here")) == [job], "there is no maker there"
+    assert take_batch([job], LARGE, HEAVY, 3.5, at("here")) == [job], "there is no worker there"
 
 
 def test_pieces_of_a_stage_are_weighed_together():
@@ -109,7 +109,7 @@
     job = away(5_000_000)
     assert take_batch([job], LARGE, HEAVY, 2.6, at("here", there=0.2)) == [], "it is in time"
     assert take_batch([job], LARGE, HEAVY, 2.6, at("here", there=0.3)) == [job]
-    assert take_batch([job], LARGE, HEAVY, 2.6, at("here")) == [job], "there is no maker there"
+    assert take_batch([job], LARGE, HEAVY, 2.6, at("here")) == [job], "there is no worker there"
 
 
 def test_a_long_queue_at_home_lets_later_ones_go_away_in_time():
@@ -300,18 +300,18 @@
 PIECES = BatchProfile(batch=4, call_seconds=0.15, piece_seconds=0.03)
 
 
-def test_slow_maker_is_called_only_when_the_others_are_far_behind():
-    maker = Maker()
-    maker.began(0.0, 0, 0.3)
-    assert maker.wait(1, 0.1) > 0.19 and maker.wait(2, 0.1) == 0.0
-    maker.ended(0)
-    assert maker.is_worth_calling(PIECES, 100, 2, 0.1)
-    maker.learn(4 * PIECES.seconds(4), PIECES.seconds(4))
-    assert maker.ratio > SLOW_RATIO
-    assert not maker.is_worth_calling(PIECES, 4, 2, 0.1)
-    assert maker.is_worth_calling(PIECES, 100, 2, 0.1), "the queue is long"
-    assert maker.is_worth_calling(PIECES, 4, 0, 0.1), "there is no other"
-    assert maker.is_worth_calling(PIECES, 4, 2, 5.0), "it may have recovered"
+def test_slow_worker_is_called_only_when_the_others_are_far_behind():
+    worker = Worker()
+    worker.began(0.0, 0, 0.3)
+    assert worker.wait(1, 0.1) > 0.19 and worker.wait(2, 0.1) == 0.0
+    worker.ended(0)
+    assert worker.is_worth_calling(PIECES, 100, 2, 0.1)
+    worker.learn(4 * PIECES.seconds(4), PIECES.seconds(4))
+    assert worker.ratio > SLOW_RATIO
+    assert not worker.is_worth_calling(PIECES, 4, 2, 0.1)
+    assert worker.is_worth_calling(PIECES, 100, 2, 0.1), "the queue is long"
+    assert worker.is_worth_calling(PIECES, 4, 0, 0.1), "there is no other"
+    assert worker.is_worth_calling(PIECES, 4, 2, 5.0), "it may have recovered"
 
 
 def test_room_is_counted_until_it_is_given_up():
@@ -344,7 +344,7 @@
     assert book.note_free(85, 100, 1.5, 4.0) == 5, "the newest word counts"
     assert book.taken(1.5) == 15
     assert book.foreign(5.6) == 0
-    assert book.note_free(95, 100, 2.0, 4.0) == 0, "the maker has not counted a call yet"
+    assert book.note_free(95, 100, 2.0, 4.0) == 0, "the worker has not counted a call yet"
 
 
 def test_room_that_others_hold_bounds_the_rate():
@@ -358,7 +358,7 @@
     assert book.rate(100, 0.3, 305.0) == whole
 
 
-def test_room_shrinks_when_the_maker_refuses():
+def test_room_shrinks_when_the_worker_refuses():
     book = RoomBook()
     for _ in range(50):
         book.on_refused()
--- a/tests/passthrough/test_owners.py
+++ b/tests/passthrough/test_owners.py
@@ -111,16 +111,16 @@
     assert owner_of(owners, context) in order[2:]
 
 
-def test_gatherer_that_says_it_is_too_late_at_the_last_moment_is_not_blamed():
+def test_batcher_that_says_it_is_too_late_at_the_last_moment_is_not_blamed():
     """A stage that can't be made in time ends at both ends at once: its answer is waited for."""
 
     async def play():
-        gatherer_seconds = []
+        batcher_seconds = []
 
         async def answer(request):
             if isinstance(request, ttypes.PingRequest):
                 return ttypes.PingReply(identity="owner/1")
-            gatherer_seconds.append(request.seconds_left)
+            batcher_seconds.append(request.seconds_left)
             # A little after the caller's own time is over, as over a link with a delay.
             await asyncio.sleep(request.seconds_left + 0.05)
             return ttypes.StageReply(handles=[""], reasons=["late"], retry_after=0.0)
@@ -136,9 +136,9 @@
             request = ttypes.StageRequest(
                 pool="batches", request_id="r", stage=0, pieces=[0], seconds_left=0.2, call_id="c"
             )
-            reply = await gateway.context.gatherer.run(request)
+            reply = await gateway.context.batcher.run(request)
         await server.stop()
-        return reply, blamed, gatherer_seconds
+        return reply, blamed, batcher_seconds
 
     reply, blamed, seconds = run(play())
     assert (reply.reasons, blamed, seconds) == (["late"], [], [0.2])
--- a/tests/passthrough/test_streams.py
+++ b/tests/passthrough/test_streams.py
@@ -87,14 +87,14 @@
     assert follows(b"data: x\n\n", "7") and is_next(b"data: x\n\n", "7")
 
 
-async def _staged(maker_faults=(), counts="3,2", room=10**9, makers=2):
+async def _staged(worker_faults=(), counts="3,2", room=10**9, workers=2):
     engine = await Runner("e-1", events=3).start()
     batches = [
-        await Runner(f"s-{i}", batch=4, room=room, faults=maker_faults).start()
-        for i in range(makers)
+        await Runner(f"s-{i}", batch=4, room=room, faults=worker_faults).start()
+        for i in range(workers)
     ]
     try:
-        pools = [("engine", engine)] + [("batches", maker) for maker in batches]
+        pools = [("engine", engine)] + [("batches", worker) for worker in batches]
         async with EmulatedGateway(table(stages=STAGES), pools) as gateway:
             answer = await gateway.call(
                 "/staged/x", **{"Traystall-Pieces": counts, "Traystall-Piece-Key": "pk"}
@@ -109,11 +109,11 @@
 @pytest.mark.parametrize("fault", ["none", "not run", "closed after running"])
 def test_stages_are_made_whole_and_given_up(fault):
     faults = [] if fault == "none" else [fault]
-    (status, _, body), engine, makers = run(_staged(faults))
+    (status, _, body), engine, workers = run(_staged(faults))
     assert (status, body) == (200, whole(3))
     inputs = engine.runs[0]["headers"]["traystall-inputs"].split(",")
     assert len(inputs) == len(set(inputs)) == 2
-    items = [item for maker in makers for call in maker.calls for item in call]
+    items = [item for worker in workers for call in worker.calls for item in call]
     first = {item["piece"] for item in items if item["stage"] == 0}
     assert first == {0, 1, 2}
     for item in items:
@@ -122,103 +122,103 @@
         else:
             assert len(item["inputs"]) == 3
     if fault == "none":
-        assert all(not maker.held for maker in makers)
+        assert all(not worker.held for worker in workers)
 
 
-@pytest.mark.parametrize("lost_at", ["engine", "maker"])
+@pytest.mark.parametrize("lost_at", ["engine", "worker"])
 def test_stages_are_run_again_when_results_are_lost(lost_at):
     async def play():
         engine = await Runner("e-1", events=3).start()
-        maker = await Runner("s-0").start()
+        worker = await Runner("s-0").start()
         if lost_at == "engine":
             engine.faults.append("inputs lost")
         else:
-            maker.loses = 1
+            worker.loses = 1
         try:
-            pools = [("engine", engine), ("batches", maker)]
+            pools = [("engine", engine), ("batches", worker)]
             async with EmulatedGateway(table(stages=STAGES), pools) as gateway:
                 headers = {"Traystall-Pieces": "3,2", "Traystall-Piece-Key": "pk"}
                 answer = await gateway.call("/staged/x", **headers)
                 await asyncio.sleep(0.1)
-                return answer, engine, maker
+                return answer, engine, worker
         finally:
             await engine.stop()
-            await maker.stop()
+            await worker.stop()
 
-    (status, _, body), engine, maker = run(play())
+    (status, _, body), engine, worker = run(play())
     assert (status, body) == (200, whole(3))
     assert len(engine.runs) == 1
-    assert not maker.held
+    assert not worker.held
 
 
-@pytest.mark.parametrize("maker_faults", [[], ["closed after running"] * 99])
-def test_resumed_stream_with_stages_is_whole_or_visibly_broken(maker_faults):
+@pytest.mark.parametrize("worker_faults", [[], ["closed after running"] * 99])
+def test_resumed_stream_with_stages_is_whole_or_visibly_broken(worker_faults):
     """Found on the users' bench: an answer of our own landed inside a stream (seed in findings)."""
 
     async def play():
         engines = [await Runner(f"e-{i}", events=8).start() for i in range(2)]
         for engine in engines:
             engine.faults.append("reset in the body")
-        maker = await Runner("s-0").start()
+        worker = await Runner("s-0").start()
         try:
-            pools = [("engine", engine) for engine in engines] + [("batches", maker)]
+            pools = [("engine", engine) for engine in engines] + [("batches", worker)]
             routing = table(stages=STAGES, resumable=True, max_attempts=3, timeout=1.5)
             async with EmulatedGateway(routing, pools) as gateway:
                 headers = {"Traystall-Pieces": "1,1", "Traystall-Piece-Key": "pk"}
                 task = asyncio.create_task(gateway.call("/staged/x", **headers))
                 while not any(engine.runs for engine in engines):
                     await asyncio.sleep(0.002)
-                maker.faults.extend(maker_faults)
+                worker.faults.extend(worker_faults)
                 for engine in engines:
                     if not engine.runs:
                         engine.faults.clear()
-                return await task, engines, maker
+                return await task, engines, worker
         finally:
-            for runner in [*engines, maker]:
+            for runner in [*engines, worker]:
                 await runner.stop()
 
-    if maker_faults:
+    if worker_faults:
         with pytest.raises(aiohttp.ClientError):
             run(play())
         return
-    (status, _, body), engines, maker = run(play())
+    (status, _, body), engines, worker = run(play())
     assert (status, body) == (200, whole(8))
     resumed = next(r for e in engines for r in e.runs if "last-event-id" in r["headers"])
     assert resumed["headers"]["traystall-inputs"]
-    assert len(maker.calls) == 4
+    assert len(worker.calls) == 4
 
 
 def test_stage_without_pieces_is_left_out():
-    (status, _, _), engine, makers = run(_staged(counts="0,0"))
+    (status, _, _), engine, workers = run(_staged(counts="0,0"))
     assert status == 200
     assert "traystall-inputs" not in engine.runs[0]["headers"]
-    assert not any(maker.calls for maker in makers)
+    assert not any(worker.calls for worker in workers)
 
 
 def test_request_that_is_over_is_no_longer_counted():
     """One whose stage fails asks for nothing more: the book of begun requests ends empty."""
 
     async def play():
-        maker = await Runner("s-0", faults=["closed after running"] * 99).start()
+        worker = await Runner("s-0", faults=["closed after running"] * 99).start()
         try:
             routing = table(stages=STAGES, timeout=0.6)
-            async with EmulatedGateway(routing, [("batches", maker)]) as gateway:
+            async with EmulatedGateway(routing, [("batches", worker)]) as gateway:
                 headers = {"Traystall-Pieces": "1,1", "Traystall-Piece-Key": "pk"}
                 status, _, _ = await gateway.call("/staged/x", **headers)
-                return status, gateway.context.gatherer._book(WHOLE)
+                return status, gateway.context.batcher._book(WHOLE)
         finally:
-            await maker.stop()
+            await worker.stop()
 
     status, book = run(play())
     assert status == 503
     assert book.to_come("batches", 9) == 0
 
 
-def test_makers_that_are_full_for_a_while_are_asked_again():
-    """Two gateways that gather at once fill each other's makers for some calls."""
-    (status, _, body), _, makers = run(_staged(["not run"] * 8))
+def test_workers_that_are_full_for_a_while_are_asked_again():
+    """Two gateways that batch at once fill each other's workers for some calls."""
+    (status, _, body), _, workers = run(_staged(["not run"] * 8))
     assert (status, body) == (200, whole(3))
-    assert sum(len(maker.rejected) for maker in makers) > 8
+    assert sum(len(worker.rejected) for worker in workers) > 8
 
 
 def test_request_whose_stage_fails_has_not_run():
@@ -228,7 +228,7 @@
     assert not engine.runs
 
 
-def test_maker_that_others_have_filled_is_asked_before_it_is_called():
+def test_worker_that_others_have_filled_is_asked_before_it_is_called():
     async def play():
         engine = await Runner("e-1", events=3).start()
         filled = await Runner("s-0", room=100).start()
@@ -259,7 +259,7 @@
     assert later, "it is called again once the others' results are gone"
 
 
-def test_pieces_of_a_silent_maker_are_made_elsewhere():
+def test_pieces_of_a_silent_worker_are_made_elsewhere():
     async def play():
         engine = await Runner("e-1", events=3).start()
         silent = await Runner("s-0", faults=["silent"] * 9).start()
--- a/tests/support/emulator/gateway.py
+++ b/tests/support/emulator/gateway.py
@@ -7,11 +7,11 @@
 
 from traystall.core import clock
 from traystall.core.ids import new_id
+from traystall.passthrough.batcher import Batcher
 from traystall.passthrough.budget import BudgetRule
 from traystall.passthrough.context import PassContext
 from traystall.passthrough.dialect import HeaderNames, PlainStageDialect
 from traystall.passthrough.front import PassFront
-from traystall.passthrough.gatherer import Gatherer
 from traystall.passthrough.placing import Placing
 from traystall.registry.models import TargetReport
 from traystall.routes.models import (
@@ -101,7 +101,7 @@
         self.context.follower = _Follower(routing_table)
         self.context.registry = _Registry()
         links = LinkPool(LinkIdentity("test", "gateway", "gateway-1"))
-        self.context.gatherer = Gatherer(self.context, links)
+        self.context.batcher = Batcher(self.context, links)
         self.context.placing = Placing(self.context, links)
         self.front = PassFront(self.context)
         for pool, runner in runners:
@@ -123,7 +123,7 @@
 
     async def __aexit__(self, *error):
         await self.session.close()
-        self.context.gatherer.close()
+        self.context.batcher.close()
         self.context.board.close()
         await self._runner.cleanup()
 
--- a/traystall/passthrough/admission.py
+++ b/traystall/passthrough/admission.py
@@ -1,11 +1,11 @@
 """Decide whether a request may begin its stages now. Pure; times are monotonic seconds.
 
-The gateway that gathers the pieces of all pools knows what waits in each and
+The gateway that batches the pieces of all pools knows what waits in each and
 what the requests that have begun will still ask of it. A request that could not
 be in time is refused at once, while that is worth something to its caller;
 those that have begun go through, because what they hold would be lost. A request
-may wait a moment at the door, holding nothing. One that comes back may wait
-longer there: it is served when the rush is over, rather than sent away for good.
+may wait a moment before admission, holding nothing. One that comes back may wait
+longer so: it is served when the rush is over, rather than sent away for good.
 """
 
 import msgspec
--- a/traystall/passthrough/gatherer.py
+++ b/traystall/passthrough/batcher.py
@@ -1,8 +1,8 @@
 """Bring pieces of many gateways together, so that targets get full batches.
 
-One live gateway of each cell, the same in everyone's view, gathers the pieces of
-all pools, so that it can tell which requests may begin. Gathering is for efficiency only: when
-the gatherer can't be reached or stops answering, a gateway calls the targets
+One live gateway of each cell, the same in everyone's view, batches the pieces of
+all pools, so that it can tell which requests may begin. Batching is for efficiency only: when
+the batcher can't be reached or stops answering, a gateway calls the targets
 itself; a piece may be made twice.
 """
 
@@ -20,7 +20,7 @@
 from traystall.passthrough.context import PassContext
 from traystall.passthrough.exceptions import ExchangeError
 from traystall.passthrough.homes import StageHome, home_of_stage
-from traystall.passthrough.owners import gathering_key
+from traystall.passthrough.owners import batching_key
 from traystall.passthrough.piece_calls import request_bytes
 from traystall.passthrough.piece_queue import PieceQueue
 from traystall.rpc.client import LinkPool
@@ -35,13 +35,13 @@
 
 # The reason of pieces of a request that was refused before it began.
 BUSY = "busy"
-# So many gatherers are asked in turn before a gateway calls the targets itself.
-_MAX_GATHERERS = 3
-# While a gatherer holds pieces it is asked this often, in seconds, whether it is there.
+# So many batchers are asked in turn before a gateway calls the targets itself.
+_MAX_BATCHERS = 3
+# While a batcher holds pieces it is asked this often, in seconds, whether it is there.
 _PING_SECONDS = 0.15
 # Longer than a lost packet takes to be sent again: loss alone must not move the ownership.
 _PING_TIMEOUT = 0.35
-# A gatherer that ends a stage because its time is over is given so long, in seconds, to say so:
+# A batcher that ends a stage because its time is over is given so long, in seconds, to say so:
 # some times what a lost packet takes to be sent again on a link of 1.4 ms. Chosen, not measured.
 _REPLY_SECONDS = 0.3
 # Results to be given up are collected this long, in seconds.
@@ -49,15 +49,15 @@
 _FREE_TIMEOUT = 1.0
 # The part of the aim that a request may wait to be let in, the part of the time left for one
 # that came back, and how often that is asked, in seconds.
-_DOOR_PART = 0.2
+_ADMISSION_PART = 0.2
 _WAIT_PART = 0.4
 _ASK_SECONDS = 0.05
 
 logger = logging.getLogger(__name__)
 
 
-class Gatherer:
-    """Send pieces to the gateway that gathers, or gather them here."""
+class Batcher:
+    """Send pieces to the gateway that batches, or batch them here."""
 
     def __init__(self, context: PassContext, links: LinkPool):
         self._context = context
@@ -72,7 +72,7 @@
 
     async def run(self, request: StageRequest) -> StageReply:
         """Return the handles of all pieces of one stage, or why there are none."""
-        for _ in range(_MAX_GATHERERS):
+        for _ in range(_MAX_BATCHERS):
             owner = self._owner(self._cell(request))
             if owner is None:
                 break
@@ -83,18 +83,18 @@
         return await self.run_here(request)
 
     def _leave(self, owner, request, error):
-        """Note that a gatherer does not serve; the next one in order is asked then."""
+        """Note that a batcher does not serve; the next one in order is asked then."""
         self._context.owners.on_error(owner.identity, error)
         decision(
-            "gatherer-left",
+            "batcher-left",
             request=request.request_id,
             stage=request.stage,
-            gatherer=owner.identity,
+            batcher=owner.identity,
             why=str(error),
         )
 
     async def run_here(self, request: StageRequest) -> StageReply:
-        """Gather the pieces of one stage at this gateway, or refuse a request that begins."""
+        """Batch the pieces of one stage at this gateway, or refuse a request that begins."""
         cell = self._cell(request)
         verdict = await self._let_in(request, cell)
         if not verdict.admitted:
@@ -120,11 +120,11 @@
         for earlier in route.stages[request.stage].after:
             for handle in islice(handles, counts[earlier]):
                 inputs[self._place_of(handle)] += route.stages[earlier].result_bytes
-        del inputs[""]  # The makers of these are gone or not known here.
+        del inputs[""]  # The workers of these are gone or not known here.
         return home_of_stage(route.stages, counts, request.stage, inputs, request.data_centre or "")
 
     def _place_of(self, handle) -> str:
-        view = self._context.board.at_address(self._context.stage_dialect.maker(handle))
+        view = self._context.board.at_address(self._context.stage_dialect.worker(handle))
         return view.report.data_centre if view is not None else ""
 
     def _usual_seconds(self, request) -> float:
@@ -166,15 +166,15 @@
                 queue.freed(handles)
 
     def free(self, pool: str, handles: list[str]) -> None:
-        """Give results up at their makers, soon and many at a time."""
+        """Give results up at their workers, soon and many at a time."""
         if not self._to_free:
             self._spawn(self._free_soon())
         for handle in handles:
-            maker = self._context.stage_dialect.maker(handle)
-            self._to_free.setdefault((pool, maker), []).append(handle)
+            worker = self._context.stage_dialect.worker(handle)
+            self._to_free.setdefault((pool, worker), []).append(handle)
 
     async def drain(self, seconds: float) -> None:
-        """Return once nobody waits for pieces that are gathered here, or after `seconds`."""
+        """Return once nobody waits for pieces that are batched here, or after `seconds`."""
         deadline = clock.monotonic() + seconds
         while clock.monotonic() < deadline and any(q.is_busy() for q in self._queues.values()):
             await asyncio.sleep(0.02)
@@ -189,10 +189,10 @@
         for task in self._tasks:
             task.cancel()
 
-    # ---- another gateway gathers ----
+    # ---- another gateway batches ----
 
     def _owner(self, cell):
-        return self._context.owners.owner(gathering_key(cell), cell)
+        return self._context.owners.owner(batching_key(cell), cell)
 
     def _cell(self, request) -> str:
         data_centre = request.data_centre or ""
@@ -221,7 +221,7 @@
             await asyncio.gather(call, watch, return_exceptions=True)
 
     async def _watch(self, link):
-        """Raise an RpcError once the gatherer doesn't answer."""
+        """Raise an RpcError once the batcher doesn't answer."""
         while True:
             await asyncio.sleep(_PING_SECONDS)
             await link.call(PingRequest(sender=self._context.identity), _PING_TIMEOUT)
@@ -230,12 +230,12 @@
         try:
             await link.send(message)
         except RpcError as error:
-            logger.debug("gatherer not told", extra={"why": str(error)})
+            logger.debug("batcher not told", extra={"why": str(error)})
 
-    # ---- this gateway gathers ----
+    # ---- this gateway batches ----
 
     async def _let_in(self, request, cell) -> Verdict:
-        """Return the verdict on a request, which may wait a while at the door for it."""
+        """Return the verdict on a request, which may wait a while for it."""
         verdict = self._admit(request, cell, 0.0)
         if verdict.admitted or request.refuse_at_once:
             return verdict
@@ -258,14 +258,14 @@
         return verdict
 
     def _patience(self, request, came_back) -> float:
-        """Return how long a request may wait at the door, in seconds.
+        """Return how long a request may wait to be let in, in seconds.
 
         A refusal within a quarter of the aim is worth most to its caller.
         """
         if came_back:
             return (request.seconds_left or 0.0) * _WAIT_PART
         route = self._context.index.named(request.route)
-        return route.aim * _DOOR_PART if route is not None else 0.0
+        return route.aim * _ADMISSION_PART if route is not None else 0.0
 
     def _refuse(self, request, cell, verdict, waited):
         self._book(cell).refuse(request.mark or "", clock.monotonic())
@@ -325,14 +325,14 @@
     async def _free_soon(self):
         await asyncio.sleep(_FREE_SECONDS)
         batches, self._to_free = self._to_free, {}
-        for (pool, maker), handles in batches.items():
-            self._spawn(self._free_and_tell(pool, maker, handles))
+        for (pool, worker), handles in batches.items():
+            self._spawn(self._free_and_tell(pool, worker, handles))
 
-    async def _free_and_tell(self, pool, maker, handles):
+    async def _free_and_tell(self, pool, worker, handles):
         """Give results up, then tell who counts the room: before that it is still taken."""
-        view = self._context.board.at_address(maker)
-        if view is not None:  # A maker that is gone holds nothing.
-            await self._free_at(view, maker, handles)
+        view = self._context.board.at_address(worker)
+        if view is not None:  # A worker that is gone holds nothing.
+            await self._free_at(view, worker, handles)
         data_centre = view.report.data_centre if view is not None else ""
         cells = self._context.cells()
         owner = self._owner(data_centre if data_centre in cells else WHOLE)
@@ -342,7 +342,7 @@
             link = self._links.link(owner.rpc_address)
             await self._send(link, StageFreed(pool=pool, handles=handles))
 
-    async def _free_at(self, view, maker, handles):
+    async def _free_at(self, view, worker, handles):
         call = self._context.stage_dialect.free(handles)
         try:
             async with (
@@ -350,10 +350,10 @@
                 Attempt(view, self._context.names, None) as attempt,
             ):
                 await attempt.open(float("inf"))
-                attempt.send(request_bytes(call, maker))
+                attempt.send(request_bytes(call, worker))
                 await attempt.read_whole()
         except (ExchangeError, TimeoutError) as error:
-            logger.info("results not given up", extra={"maker": maker, "why": str(error)})
+            logger.info("results not given up", extra={"worker": worker, "why": str(error)})
 
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
--- a/traystall/passthrough/batching.py
+++ b/traystall/passthrough/batching.py
@@ -73,14 +73,14 @@
 class FreeTarget(msgspec.Struct, frozen=True):
     """Describe the target to be called: where it is, and what else the pool has.
 
-    `makers` are all targets of the pool, `home_waits` how long the next of them
+    `workers` are all targets of the pool, `home_waits` how long the next of them
     in each data centre is still at work, in seconds, and `home_rates` how many
     pieces a second they make there; a data centre that is not named has none.
     `lacks` names pools that have no target in this data centre.
     """
 
     data_centre: str = ""
-    makers: int = 1
+    workers: int = 1
     home_waits: dict[str, float] = {}
     home_rates: dict[str, float] = {}
     lacks: frozenset[str] = frozenset()
@@ -146,14 +146,14 @@
 ) -> list[PieceJob]:
     """Return the pieces for one call of a target, within its batch and room.
 
-    The most pressing go first. While the makers of the pool have much before them,
+    The most pressing go first. While the workers of the pool have much before them,
     no slot is left empty for the sake of a piece's data centre.
     The pieces of a stage are begun only where there is room for all that wait of
     it: results of half a stage would take room and be of no use. `started` names
     the calls of which some pieces were begun; those go on first.
     """
     live = [job for job in waiting if job.deadline > now]
-    crowded = len(live) > profile.batch * target.makers * _CROWDED_PART
+    crowded = len(live) > profile.batch * target.workers * _CROWDED_PART
     ranked = sorted(live, key=lambda job: (job.call_id not in started, *order_key(job, now)))
     if crowded and target.data_centre:
         ranked = _home_first(ranked, profile.batch, target)
--- a/traystall/passthrough/cells.py
+++ b/traystall/passthrough/cells.py
@@ -1,6 +1,6 @@
-"""Decide which data centres gather pieces for themselves. Pure.
+"""Decide which data centres batch pieces for themselves. Pure.
 
-One gateway that gathers for all fills the calls best where targets are few.
+One gateway that batches for all fills the calls best where targets are few.
 Where each data centre has targets enough of its own, the work is split by data
 centre: results stay where they are read, a cut concerns nobody else, and no
 single gateway's link carries the pieces of all.
@@ -13,23 +13,23 @@
 
 # The whole system as one cell.
 WHOLE = ""
-# Each pool needs so many makers for each data centre, as a mean, before the work is split.
+# Each pool needs so many workers for each data centre, as a mean, before the work is split.
 _MAKERS_PER_CELL = 1.5
 
 
-def gathering_cells(pools: Iterable[Counter[str]]) -> tuple[str, ...]:
-    """Return the data centres that gather for themselves; none if one gateway gathers for all.
+def batching_cells(pools: Iterable[Counter[str]]) -> tuple[str, ...]:
+    """Return the data centres that batch for themselves; none if one gateway batches for all.
 
-    Each entry of `pools` counts the makers of one pool by data centre.
+    Each entry of `pools` counts the workers of one pool by data centre.
     """
     pools = list(pools)
     data_centres = sorted(set().union(*pools)) if pools else []
     if len(data_centres) < 2:
         return ()
-    for makers in pools:
-        if any(not makers[name] for name in data_centres):
+    for workers in pools:
+        if any(not workers[name] for name in data_centres):
             return ()
-        if makers.total() < _MAKERS_PER_CELL * len(data_centres):
+        if workers.total() < _MAKERS_PER_CELL * len(data_centres):
             return ()
     return tuple(data_centres)
 
--- a/traystall/passthrough/context.py
+++ b/traystall/passthrough/context.py
@@ -7,9 +7,9 @@
 from traystall.gateway.configuration import ConfigurationFollower
 from traystall.passthrough.board import TargetBoard, TargetView
 from traystall.passthrough.budget import BudgetRule, RepeatBudget
-from traystall.passthrough.cells import gathering_cells
+from traystall.passthrough.cells import batching_cells
 from traystall.passthrough.dialect import HeaderNames, StageDialect
-from traystall.passthrough.owners import Owners, gathering_key
+from traystall.passthrough.owners import Owners, batching_key
 from traystall.passthrough.places import DataCentreWatch
 from traystall.registry.follower import RegistryFollower
 from traystall.routes.matching import RouteIndex
@@ -43,7 +43,7 @@
         self.follower: ConfigurationFollower | None = None
         self.registry: RegistryFollower | None = None
         self.owners = Owners(self)
-        self.gatherer = None
+        self.batcher = None
         self.placing = None
         self._budget_rule = budget_rule
         self._budgets: dict[str, RepeatBudget] = {}
@@ -93,19 +93,19 @@
         """Return about how long the first event takes now, for what it usually takes."""
         return usual * min(_MAX_ENGINE_SCALE, max(1.0, self._engine_scale))
 
-    def may_repeat_gathered(self, pool: str, cell: str) -> bool:
+    def may_repeat_batched(self, pool: str, cell: str) -> bool:
         """The same for pieces, which one gateway of a cell sends for all: it has most of it."""
-        gathers = self.owners.owner(gathering_key(cell), cell) is None
-        gateways = max(1, len(self.cells())) if gathers else self.gateways()
+        batches = self.owners.owner(batching_key(cell), cell) is None
+        gateways = max(1, len(self.cells())) if batches else self.gateways()
         return self.budget(pool).take(clock.monotonic(), gateways)
 
     def cells(self) -> tuple[str, ...]:
-        """Return the data centres that gather pieces for themselves; none if one is for all."""
+        """Return the data centres that batch pieces for themselves; none if one is for all."""
         held = (self.board.generation, self.index.number)
         if self._cells_of != held:
             self._cells_of = held
             pools = [name for name, pool in self.index.pools.items() if pool.batches]
-            self._cells = gathering_cells(self.board.data_centres(name) for name in pools)
+            self._cells = batching_cells(self.board.data_centres(name) for name in pools)
         return self._cells
 
     def learn_stage(self, pool: str, seconds: float) -> None:
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -13,12 +13,12 @@
 from traystall.core.health import add_health_routes
 from traystall.core.ids import new_id
 from traystall.gateway.configuration import ConfigurationFollower
+from traystall.passthrough.batcher import Batcher
 from traystall.passthrough.budget import BudgetRule
 from traystall.passthrough.context import PassContext
 from traystall.passthrough.dialect import HeaderNames, PlainStageDialect, StageDialect
 from traystall.passthrough.drain import Drain
 from traystall.passthrough.front import PassFront
-from traystall.passthrough.gatherer import Gatherer
 from traystall.passthrough.owners import LEAVING
 from traystall.passthrough.placing import Placing
 from traystall.passthrough.probing import PlaceProber
@@ -34,8 +34,8 @@
 # Kept connections of callers are closed only after this long without a request, in seconds.
 _IDLE_SECONDS = 60.0
 _PUMP_SECONDS = 0.25
-# How long what was gathered for other gateways may take after the last own request, in seconds.
-_GATHERED_SECONDS = 0.3
+# How long what was batched for other gateways may take after the last own request, in seconds.
+_BATCHED_SECONDS = 0.3
 # How long connections without a request may take to close, in seconds.
 _CLOSE_SECONDS = 0.2
 
@@ -75,9 +75,9 @@
             settings.data_centre, self._identity, self._names, self._stage_dialect, rule
         )
         self._follow()
-        self.gateway_context.gatherer = Gatherer(self.gateway_context, self._links)
+        self.gateway_context.batcher = Batcher(self.gateway_context, self._links)
         self.gateway_context.placing = Placing(self.gateway_context, self._links)
-        self.gateway_context.board.on_change.append(self.gateway_context.gatherer.pump)
+        self.gateway_context.board.on_change.append(self.gateway_context.batcher.pump)
         self._server = RpcServer(
             settings.rpc_listen, settings.cluster, settings.secret, self._answer_peer
         )
@@ -101,13 +101,13 @@
         self._state = "draining"
         drain = Drain(self._front, self._web_server, self._site.stop)
         await drain.run(self.settings.drain_notice, self.settings.drain_limit)
-        await self.gateway_context.gatherer.drain(_GATHERED_SECONDS)
+        await self.gateway_context.batcher.drain(_BATCHED_SECONDS)
         logger.info("drained", extra={"in_flight": self._front.in_flight})
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close every connection."""
         self._background.stop()
-        self.gateway_context.gatherer.close()
+        self.gateway_context.batcher.close()
         self.gateway_context.placing.close()
         await self._runner.cleanup()
         if self._health is not None:
@@ -180,18 +180,18 @@
 
     async def _answer_peer(self, request):
         """Answer another gateway."""
-        gatherer = self.gateway_context.gatherer
+        batcher = self.gateway_context.batcher
         asks = isinstance(request, ttypes.StageRequest | ttypes.PlaceRequest)
         if asks and self._state != "serving":
             # Whoever asks takes another gateway from now on.
             raise RpcRefused(LEAVING, "This gateway is about to stop.")
         if isinstance(request, ttypes.StageRequest):
-            return await gatherer.run_here(request)
+            return await batcher.run_here(request)
         if isinstance(request, ttypes.StageCancel):
-            gatherer.cancel(request.call_id, request.request_id)
+            batcher.cancel(request.call_id, request.request_id)
             return None
         if isinstance(request, ttypes.StageFreed):
-            gatherer.freed_here(request.pool, request.handles)
+            batcher.freed_here(request.pool, request.handles)
             return None
         if isinstance(request, ttypes.PlaceRequest):
             return self.gateway_context.placing.place_here(request)
@@ -199,7 +199,7 @@
             self.gateway_context.placing.note_here(request)
             return None
         if isinstance(request, ttypes.PingRequest):
-            return await gatherer.ping(request)
+            return await batcher.ping(request)
         if isinstance(request, ttypes.WatchRequest):
             return self.gateway_context.follower.answer_watch(request)
         raise RpcRefused("bad-method", "A gateway does not serve this call.")
@@ -207,7 +207,7 @@
     async def _pump_forever(self):
         while True:
             await asyncio.sleep(_PUMP_SECONDS)
-            self.gateway_context.gatherer.pump()
+            self.gateway_context.batcher.pump()
 
     async def _reload_forever(self):
         """Read the settings again now and then: they may change without a signal."""
--- a/traystall/passthrough/dialect.py
+++ b/traystall/passthrough/dialect.py
@@ -80,7 +80,7 @@
         A target that tells it roughly is taken for emptier than it may be.
         """
 
-    def maker(self, handle: str) -> str:
+    def worker(self, handle: str) -> str:
         """Return the IP:PORT of the target that holds a result."""
 
 
@@ -126,6 +126,6 @@
         """Return how much room a target has left; raise ValueError if `body` does not tell."""
         return msgspec.json.decode(body, type=_ReportBody).free_bytes
 
-    def maker(self, handle: str) -> str:
+    def worker(self, handle: str) -> str:
         """Return the IP:PORT of the target that holds a result."""
         return handle.partition("/")[0]
--- a/traystall/passthrough/owners.py
+++ b/traystall/passthrough/owners.py
@@ -1,4 +1,4 @@
-"""Find the one gateway that does something for all: gathers pieces, places prompts.
+"""Find the one gateway that does something for all: batches pieces, places prompts.
 
 Ownership is for efficiency only; two gateways that take themselves for the
 owner, or none that does, cost some repeats and rereads, never an answer. It
@@ -28,9 +28,9 @@
     return f"place {pool}"
 
 
-def gathering_key(cell: str) -> str:
-    """Return the key of gathering the pieces of a cell."""
-    return f"gather {cell}" if cell else "gather"
+def batching_key(cell: str) -> str:
+    """Return the key of batching the pieces of a cell."""
+    return f"batch {cell}" if cell else "batch"
 
 
 def rank(rows: list[GatewayRow], key: str, now: float, near: str = "") -> list[str]:
--- a/traystall/passthrough/piece_calls.py
+++ b/traystall/passthrough/piece_calls.py
@@ -19,7 +19,7 @@
 _MISDIRECTED = 421
 
 
-async def call_maker(
+async def call_worker(
     context, view: TargetView, batch: list[PieceJob], expected: float
 ) -> list[PieceResult]:
     """Return the result of each piece; raise ExchangeError or TimeoutError if there is none."""
--- a/traystall/passthrough/piece_queue.py
+++ b/traystall/passthrough/piece_queue.py
@@ -11,9 +11,9 @@
 from traystall.passthrough.dialect import PieceResult
 from traystall.passthrough.exceptions import ExchangeError
 from traystall.passthrough.homes import StageHome
-from traystall.passthrough.makers import SLOW_RATIO, Maker, overdue_after
-from traystall.passthrough.piece_calls import FULL, UNREACHABLE, call_maker
+from traystall.passthrough.piece_calls import FULL, UNREACHABLE, call_worker
 from traystall.passthrough.room_watch import RoomWatch
+from traystall.passthrough.workers import SLOW_RATIO, Worker, overdue_after
 from traystall.routes.models import BatchProfile
 from traystall.rpc.gen.wire.ttypes import StageReply, StageRequest
 
@@ -55,7 +55,7 @@
         self._cell = cell
         self._waiting: list[PieceJob] = []
         self._calls: dict[str, _Call] = {}
-        self._makers: dict[str, Maker] = {}
+        self._workers: dict[str, Worker] = {}
         self._tasks: set[asyncio.Task] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._since = clock.monotonic()
@@ -87,9 +87,9 @@
     def freed(self, handles: list[str]) -> None:
         """Take in that results were given up, and use the room."""
         for handle in handles:
-            maker = self._makers.get(self._context.stage_dialect.maker(handle))
-            if maker is not None:
-                maker.book.free(handle, clock.monotonic())
+            worker = self._workers.get(self._context.stage_dialect.worker(handle))
+            if worker is not None:
+                worker.book.free(handle, clock.monotonic())
         self.pump()
 
     def is_busy(self) -> bool:
@@ -105,7 +105,7 @@
         profile = self._profile()
         if profile is None:
             return 0.0
-        return _rate([self._maker(view) for view in self._usable()], profile, now)
+        return _rate([self._worker(view) for view in self._usable()], profile, now)
 
     def pump(self) -> None:
         """Give every free target its next call."""
@@ -114,15 +114,15 @@
             return
         now = clock.monotonic()
         home_waits, home_rates = self._home_waits(profile, now), self._home_rates(profile, now)
-        makers = len(self._usable())
-        for view, maker in self._free_makers(profile, now):
-            room = profile.room_bytes * maker.book.share - maker.book.taken(now)
+        workers = len(self._usable())
+        for view, worker in self._free_workers(profile, now):
+            room = profile.room_bytes * worker.book.share - worker.book.taken(now)
             place = view.report.data_centre
-            target = FreeTarget(place, makers, home_waits, home_rates, self._lacks(place))
+            target = FreeTarget(place, workers, home_waits, home_rates, self._lacks(place))
             started = frozenset(name for name, call in self._calls.items() if call.started)
             batch = take_batch(self._waiting, profile, room, now, target, started)
             if batch:
-                self._begin(view, maker, batch, profile, now)
+                self._begin(view, worker, batch, profile, now)
         if self._waiting:
             self._pump_later()
 
@@ -134,24 +134,24 @@
         pool = self._context.index.pools.get(self._pool)
         return pool.batches if pool else None
 
-    def _maker(self, view) -> Maker:
-        return self._makers.setdefault(view.report.address, Maker())
+    def _worker(self, view) -> Worker:
+        return self._workers.setdefault(view.report.address, Worker())
 
     def _home_waits(self, profile, now) -> dict[str, float]:
         """Return for each data centre how long its next target is still at work."""
         waits: dict[str, float] = {}
         for view in self._usable():
-            wait = self._maker(view).wait(profile.slots, now)
+            wait = self._worker(view).wait(profile.slots, now)
             place = view.report.data_centre
             waits[place] = min(wait, waits.get(place, wait))
         return waits
 
     def _home_rates(self, profile, now) -> dict[str, float]:
         """Return for each data centre how many pieces a second its targets make."""
-        makers: dict[str, list[Maker]] = {}
+        workers: dict[str, list[Worker]] = {}
         for view in self._usable():
-            makers.setdefault(view.report.data_centre, []).append(self._maker(view))
-        return {place: _rate(found, profile, now) for place, found in makers.items()}
+            workers.setdefault(view.report.data_centre, []).append(self._worker(view))
+        return {place: _rate(found, profile, now) for place, found in workers.items()}
 
     def _lacks(self, data_centre) -> frozenset[str]:
         """Return the pools that will read results and have no target in a data centre."""
@@ -162,22 +162,22 @@
             if all(v.report.data_centre != data_centre for v in self._context.usable(name))
         )
 
-    def _free_makers(self, profile, now):
+    def _free_workers(self, profile, now):
         """Return the targets to call now, the fastest first."""
-        known = [(view, self._maker(view)) for view in self._usable()]
-        for view, maker in known:
-            self._room_watch.review(view, maker, profile, now)
-        sound = sum(1 for _, maker in known if maker.ratio < SLOW_RATIO)
+        known = [(view, self._worker(view)) for view in self._usable()]
+        for view, worker in known:
+            self._room_watch.review(view, worker, profile, now)
+        sound = sum(1 for _, worker in known if worker.ratio < SLOW_RATIO)
         free = [
-            (view, maker)
-            for view, maker in known
-            if maker.calls < profile.slots
-            and now >= max(view.avoid_until, maker.wait_until)
-            and maker.is_worth_calling(profile, len(self._waiting), sound, now)
+            (view, worker)
+            for view, worker in known
+            if worker.calls < profile.slots
+            and now >= max(view.avoid_until, worker.wait_until)
+            and worker.is_worth_calling(profile, len(self._waiting), sound, now)
         ]
         return sorted(free, key=lambda pair: (pair[1].ratio, pair[0].identity))
 
-    def _begin(self, view, maker, batch, profile, now):
+    def _begin(self, view, worker, batch, profile, now):
         taken = set(map(id, batch))
         self._waiting = [job for job in self._waiting if id(job) not in taken]
         self._keep_together(batch, view.report.data_centre)
@@ -186,8 +186,8 @@
                 self._calls[job.call_id].started = True
         size = sum(job.result_bytes for job in batch)
         # Counted here, not in the task: until that runs the target would look free.
-        maker.began(now, size, profile.seconds(len(batch)))
-        self._spawn(self._call(view, maker, batch, profile, size))
+        worker.began(now, size, profile.seconds(len(batch)))
+        self._spawn(self._call(view, worker, batch, profile, size))
 
     def _keep_together(self, batch, data_centre):
         """Bind what waits of the stages in a batch to the data centre where they were begun."""
@@ -197,17 +197,17 @@
                 job.data_centre = data_centre
                 job.away_bytes = max(job.away_bytes, job.apart_bytes)
 
-    async def _call(self, view, maker, batch, profile, size):
+    async def _call(self, view, worker, batch, profile, size):
         began = clock.monotonic()
         expected = profile.seconds(len(batch))
         settled = clock.monotonic() - self._since > _SETTLED_SECONDS
         hedge = asyncio.get_running_loop().call_later(
-            overdue_after(expected, settled), self._ask_elsewhere, view, maker, batch, expected
+            overdue_after(expected, settled), self._ask_elsewhere, view, worker, batch, expected
         )
         try:
-            results = await call_maker(self._context, view, batch, expected)
+            results = await call_worker(self._context, view, batch, expected)
             self._context.places.on_heard(view.report.data_centre)
-            maker.learn(clock.monotonic() - began, expected)
+            worker.learn(clock.monotonic() - began, expected)
             view.on_success(clock.monotonic() - began)
         except ExchangeError as error:
             self._context.board.on_exchange_error(view, error, clock.monotonic())
@@ -220,8 +220,8 @@
             decision("pieces-failed", target=view.identity, why="no answer in time")
         finally:
             hedge.cancel()
-            maker.ended(size)
-        self._settle(view, maker, batch, results, profile)
+            worker.ended(size)
+        self._settle(view, worker, batch, results, profile)
         decision(
             "pieces",
             pool=self._pool,
@@ -234,9 +234,9 @@
         )
         self.pump()
 
-    def _ask_elsewhere(self, view, maker, batch, expected):
+    def _ask_elsewhere(self, view, worker, batch, expected):
         """Ask for the pieces of an overdue call again; the first result of each counts."""
-        maker.learn(overdue_after(expected, True), expected)
+        worker.learn(overdue_after(expected, True), expected)
         copies = [
             msgspec.structs.replace(job, tries=job.tries + 1)
             for job in batch
@@ -252,12 +252,12 @@
         call = self._calls.get(job.call_id)
         return call is not None and not call.handles[job.piece]
 
-    def _settle(self, view, maker, batch, results, profile):
+    def _settle(self, view, worker, batch, results, profile):
         now = clock.monotonic()
         unused = []
         for job, result in zip(batch, results, strict=True):
             if result.handle:
-                maker.book.hold(result.handle, job.result_bytes, now, profile.result_lifetime)
+                worker.book.hold(result.handle, job.result_bytes, now, profile.result_lifetime)
             if not self._is_open(job):
                 unused += [result.handle] if result.handle else []
             elif result.handle:
@@ -265,20 +265,20 @@
             elif not self._try_again(job, result.reason, now):
                 self._calls[job.call_id].close(job.piece, "", result.reason)
         if any(result.reason == "room" for result in results):
-            maker.book.on_refused()
-            maker.is_room_known = False
+            worker.book.on_refused()
+            worker.is_room_known = False
             view.avoid_until = max(view.avoid_until, now + _PAUSE_SECONDS)
         else:
-            maker.book.on_taken()
+            worker.book.on_taken()
         if unused:
-            self._context.gatherer.free(self._pool, unused)
+            self._context.batcher.free(self._pool, unused)
 
     def _try_again(self, job, reason, now) -> bool:
         if reason == UNREACHABLE:
             self._waiting.append(job)
             return True
         if reason not in _BUSY_REASONS:
-            # A refusal for want of room or of a slot costs the maker nothing and may come often.
+            # A refusal for want of room or of a slot costs the worker nothing and may come often.
             job.tries += 1
         if reason not in _PASSING_REASONS or job.tries >= _MAX_TRIES or now >= job.deadline:
             return False
@@ -288,7 +288,7 @@
         return True
 
     def _may_repeat(self) -> bool:
-        return self._context.may_repeat_gathered(self._pool, self._cell)
+        return self._context.may_repeat_batched(self._pool, self._cell)
 
     def _pump_later(self):
         if self._timer is None:
@@ -305,11 +305,11 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _rate(makers, profile, now) -> float:
+def _rate(workers, profile, now) -> float:
     """Return how many pieces a second some targets make with full calls, as far as room lasts."""
     seconds = max(0.001, profile.seconds(profile.batch))
-    called = sum(profile.slots * profile.batch / seconds / maker.ratio for maker in makers)
-    held = sum(maker.book.rate(profile.room_bytes, seconds, now) for maker in makers)
+    called = sum(profile.slots * profile.batch / seconds / worker.ratio for worker in workers)
+    held = sum(worker.book.rate(profile.room_bytes, seconds, now) for worker in workers)
     return min(called, held)
 
 
--- a/traystall/passthrough/room.py
+++ b/traystall/passthrough/room.py
@@ -1,4 +1,4 @@
-"""Count the room that results take at their maker. Pure; sizes in bytes, monotonic seconds."""
+"""Count the room that results take at their worker. Pure; sizes in bytes, monotonic seconds."""
 
 _MIN_SHARE = 0.5
 _SHRINK = 0.93
@@ -8,7 +8,7 @@
 
 
 class RoomBook:
-    """Count what one maker holds: results until they are given up, calls under way as a whole."""
+    """Count what one worker holds: results until they are given up, calls under way as a whole."""
 
     def __init__(self):
         # The part of the declared room that is used: sizes are told only about.
@@ -18,12 +18,12 @@
         self._held_seconds = 0.0
         self._mean_bytes = 0.0
         self._reserved = 0
-        # What others hold here, as the maker told, and when that is surely over.
+        # What others hold here, as the worker told, and when that is surely over.
         self._foreign = 0
         self._foreign_until = float("-inf")
 
     def note_free(self, free: int, room: int, now: float, lifetime: float) -> int:
-        """Take in how much room the maker says it has left; return what others hold here."""
+        """Take in how much room the worker says it has left; return what others hold here."""
         self._foreign = 0
         self._foreign = max(0, room - free - self.taken(now))
         self._foreign_until = now + lifetime
@@ -42,7 +42,7 @@
         self._reserved -= size
 
     def hold(self, handle: str, size: int, now: float, lifetime: float) -> None:
-        """Count a result; after its lifetime its maker drops it by itself."""
+        """Count a result; after its lifetime its worker drops it by itself."""
         self._held[handle] = (size, now, now + lifetime)
         self._mean_bytes += _LEARNING * (size - self._mean_bytes)
 
@@ -60,7 +60,7 @@
         return results / (self._held_seconds + call_seconds)
 
     def on_refused(self) -> None:
-        """Use less room: the maker had less left than was counted."""
+        """Use less room: the worker had less left than was counted."""
         self.share = max(_MIN_SHARE, self.share * _SHRINK)
 
     def on_taken(self) -> None:
--- a/traystall/passthrough/stages.py
+++ b/traystall/passthrough/stages.py
@@ -25,7 +25,7 @@
 
 
 class InputsGone(StageFailed):
-    """Report results that were lost with their maker: the stages have to be run again."""
+    """Report results that were lost with their worker: the stages have to be run again."""
 
 
 def away_bytes(stages, counts, index: int) -> int:
@@ -61,7 +61,7 @@
             for task in tasks.values():
                 task.cancel()
             await asyncio.gather(*tasks.values(), return_exceptions=True)
-            self._context.gatherer.abandon(self._passed.request_id, self._passed.home)
+            self._context.batcher.abandon(self._passed.request_id, self._passed.home)
             raise
         return tuple(
             handle
@@ -105,7 +105,7 @@
             away_bytes=away_bytes(passed.route.stages, passed.piece_counts, index),
         )
         began = clock.monotonic()
-        reply = await self._context.gatherer.run(request)
+        reply = await self._context.batcher.run(request)
         if all(reply.handles):
             self._context.learn_stage(plan.pool, clock.monotonic() - began)
         self._handles[index] = [handle for handle in reply.handles if handle]
@@ -165,4 +165,4 @@
         news = [handle for handle in handles if handle not in self._freed]
         self._freed.update(news)
         if news:
-            self._context.gatherer.free(self._passed.route.stages[index].pool, news)
+            self._context.batcher.free(self._passed.route.stages[index].pool, news)
--- a/traystall/passthrough/makers.py
+++ b/traystall/passthrough/workers.py
@@ -18,7 +18,7 @@
 _OVERDUE_SECONDS = 0.06
 
 
-class Maker(msgspec.Struct, eq=False):
+class Worker(msgspec.Struct, eq=False):
     """Hold one target: calls under way, room taken, and how slow it is."""
 
     book: RoomBook = msgspec.field(default_factory=RoomBook)
@@ -55,14 +55,14 @@
         self.ratio += weight * (found - self.ratio)
 
     def is_worth_calling(
-        self, profile: BatchProfile, waiting: int, sound_makers: int, now: float
+        self, profile: BatchProfile, waiting: int, sound_workers: int, now: float
     ) -> bool:
         """Return whether a call here ends before the sound targets would have come to it."""
-        if self.ratio < SLOW_RATIO or not sound_makers:
+        if self.ratio < SLOW_RATIO or not sound_workers:
             return True
         if now - self.last_began > _PROBE_SECONDS:
             return True
-        calls_ahead = waiting / (profile.batch * sound_makers)
+        calls_ahead = waiting / (profile.batch * sound_workers)
         return self.ratio < 1 + calls_ahead
 
 
--- a/traystall/routes/models.py
+++ b/traystall/routes/models.py
@@ -73,7 +73,7 @@
     """Describe targets that work on batches of pieces, each figure for one target.
 
     A call takes about `call_seconds` and `piece_seconds` for each piece; results
-    take room at their maker until they are freed or `result_lifetime` is over.
+    take room at their worker until they are freed or `result_lifetime` is over.
     """
 
     slots: int = 1
