Look up the data centre of each worker once for a stage, not once for each input

A stage of 16 pieces over 8 inputs asked the board 8 times for the same one to three workers; on a site with a hundred targets each look-up reads all of them. Behaviour is the same; not measured by itself.

--- a/traystall/passthrough/batcher.py
+++ b/traystall/passthrough/batcher.py
@@ -115,17 +115,23 @@
         counts = request.counts or []
         if route is None or len(counts) != len(route.stages):
             return StageHome(request.data_centre or "", request.away_bytes or 0)
-        inputs: Counter[str] = Counter()
+        inputs = self._input_bytes(route, counts, request)
+        return home_of_stage(route.stages, counts, request.stage, inputs, request.data_centre or "")
+
+    def _input_bytes(self, route, counts, request) -> Counter[str]:
+        """Return the bytes that each piece of a stage reads, by the data centre where they lie."""
+        held: Counter[str] = Counter()
         handles = iter(request.inputs or ())
         for earlier in route.stages[request.stage].after:
             for handle in islice(handles, counts[earlier]):
-                inputs[self._place_of(handle)] += route.stages[earlier].result_bytes
-        del inputs[""]  # The workers of these are gone or not known here.
-        return home_of_stage(route.stages, counts, request.stage, inputs, request.data_centre or "")
-
-    def _place_of(self, handle) -> str:
-        view = self._context.board.at_address(self._context.stage_dialect.worker(handle))
-        return view.report.data_centre if view is not None else ""
+                worker = self._context.stage_dialect.worker(handle)
+                held[worker] += route.stages[earlier].result_bytes
+        found: Counter[str] = Counter()
+        for worker, size in held.items():
+            view = self._context.board.at_address(worker)
+            if view is not None:  # One that is gone holds nothing.
+                found[view.report.data_centre] += size
+        return found
 
     def _usual_seconds(self, request) -> float:
         """Return how long the longest chain of a request takes without waiting."""
