--- a/traystall/passthrough/admission.py
+++ b/traystall/passthrough/admission.py
@@ -20,10 +20,8 @@
 _MIN_RETRY = 0.4
 # To come back sooner than this many times the aim would mostly meet the same rush.
 _RETRY_AIMS = 1.5
-# One that came back is let in where the wait is below this part of what others may wait. Measured
-# (docs/design/decisions-under-load.md): with forecasts that counted what is served on the way, 0.5
-# was best; since they don't, 0.8 serves more and delays nobody.
-_RETURN_PART = 0.8
+# One that came back is let in where the wait is below this part of what others may wait.
+_RETURN_PART = 0.5
 # While others keep coming a queue empties so many times slower than it is served.
 _RETRY_FACTOR = 4.0
 # Callers wait up to a third of the time they have left; a little less reaches them surely.
@@ -45,8 +43,7 @@
     """Describe a request that wants to begin.
 
     `slack` is how long it may wait and still be in time, `seconds_left` until
-    its caller gives up; `mark` is the same when the caller tries again. `reach`
-    is how long it takes, by stage, until the stages before are made.
+    its caller gives up; `mark` is the same when the caller tries again.
     """
 
     request_id: str
@@ -56,18 +53,6 @@
     slack: float
     seconds_left: float
     mark: str = ""
-    reach: tuple[float, ...] = ()
-
-    def reach_of(self, pool: str) -> float:
-        """Return how long it takes until the request asks a pool for its first pieces."""
-        begins = [
-            seconds
-            for stage, count, seconds in zip(
-                self.route.stages, self.counts, self.reach, strict=False
-            )
-            if count and stage.pool == pool
-        ]
-        return min(begins, default=0.0)
 
     def demand(self, done: frozenset[int] = frozenset()) -> dict[str, int]:
         """Return how many pieces of each pool are still to be asked for."""
@@ -174,9 +159,7 @@
             ahead = waiting(pool, arrival.priority) + self.to_come(pool, arrival.priority)
             forecast = self._forecast(pool)
             rate = rates.get(pool, 0.0)
-            backlog = forecast.seconds(arrival.priority, ahead, rate, now)
-            # While the request is on its way to a pool, the pool works on what is ahead.
-            waits.append(backlog - arrival.reach_of(pool))
+            waits.append(forecast.seconds(arrival.priority, ahead, rate, now))
         return max(waits)
 
     def _fade(self, now):
--- a/traystall/passthrough/batcher.py
+++ b/traystall/passthrough/batcher.py
@@ -138,23 +138,13 @@
         route = self._context.index.named(request.route)
         if route is None:
             return 0.0
-        counts = request.counts or [0] * len(route.stages)
-        begins = self._begins(route, counts)
-        owns = [
-            self._context.usual_stage_seconds(stage.pool) if count else 0.0
-            for stage, count in zip(route.stages, counts, strict=True)
-        ]
-        return max((at + own for at, own in zip(begins, owns, strict=True)), default=0.0)
-
-    def _begins(self, route, counts) -> list[float]:
-        """Return when each stage begins where nothing waits, in seconds from the first one."""
-        begins: list[float] = []
         ends: list[float] = []
-        for stage, count in zip(route.stages, counts, strict=True):
-            begins.append(max((ends[earlier] for earlier in stage.after), default=0.0))
+        for index, stage in enumerate(route.stages):
+            begins = max((ends[earlier] for earlier in stage.after), default=0.0)
+            count = request.counts[index] if request.counts else 0
             own = self._context.usual_stage_seconds(stage.pool) if count else 0.0
-            ends.append(begins[-1] + own)
-        return begins
+            ends.append(begins + own)
+        return max(ends, default=0.0)
 
     def cancel(self, call_id: str, request_id: str) -> None:
         """Drop the pieces of a call that nobody waits for any more; its request is over."""
@@ -314,7 +304,6 @@
             slack=(request.seconds_to_start or 0.0) - waited,
             seconds_left=(request.seconds_left or 0.0) - waited,
             mark=request.mark or "",
-            reach=tuple(self._begins(route, request.counts)),
         )
         pools = {stage.pool for stage in route.stages}
         rates = {pool: self._queue(cell, pool).rate(now) for pool in pools}
--- a/traystall/passthrough/batching.py
+++ b/traystall/passthrough/batching.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from traystall.passthrough.ranks import customers_part
 from traystall.routes.models import BatchProfile
 
 # A piece that should have begun this long ago is no longer likely to be in time.
@@ -53,7 +52,7 @@
 
 
 def order_key(job: PieceJob, now: float) -> tuple:
-    """Return what to sort by: requests that have begun, then customers' urgency, then time left.
+    """Return what to sort by: requests that have begun, then urgency, then time left.
 
     What a request that has begun holds takes room, so it goes on even if it is
     late; of the others those that can still be in time go first.
@@ -62,7 +61,7 @@
     lost = not begun and job.due < now - _LOST_SECONDS
     return (
         not begun,
-        customers_part(job.priority),
+        job.priority,
         lost,
         job.due,
         job.request_id,
--- a/traystall/passthrough/request.py
+++ b/traystall/passthrough/request.py
@@ -7,7 +7,6 @@
 from traystall.passthrough.dialect import HeaderNames
 from traystall.passthrough.exceptions import Refusal
 from traystall.passthrough.messages import CallerRequest, RequestWriter
-from traystall.passthrough.ranks import rank_of
 from traystall.routes.models import KeyedCustomer, Route
 
 # A final answer is given this long before the deadline, in seconds, so that it arrives in time.
@@ -74,9 +73,10 @@
 
     @property
     def priority(self) -> int:
-        """Return the rank of the request, 0 first."""
-        customers = self.customer.priority if self.customer is not None else None
-        return rank_of(customers, self.route.priority)
+        """Return the rank of the request, 0 first: the customer's goes before the route's."""
+        if self.customer is not None and self.customer.priority is not None:
+            return self.customer.priority
+        return self.route.priority
 
     @property
     def mark(self) -> str:
--- a/traystall/passthrough/waiting.py
+++ b/traystall/passthrough/waiting.py
@@ -7,10 +7,8 @@
 
 # Arrivals are averaged over about this long.
 _ARRIVAL_SECONDS = 1.5
-# What is left for work of an urgency, as a part of all, however much comes that is more urgent: a
-# kind that is a little less urgent must not be starved. Measured (decisions-under-load.md):
-# 0.25 and less fails floors of kinds on two sites.
-_MIN_LEFT = 0.6
+# What is left for work of an urgency, as a part of all, however much comes that is more urgent.
+_MIN_LEFT = 0.08
 
 
 class ArrivalRate(msgspec.Struct):
