--- a/tests/passthrough/test_decisions.py
+++ b/tests/passthrough/test_decisions.py
@@ -115,32 +115,14 @@
 def test_a_long_queue_at_home_lets_later_ones_go_away_in_time():
     """Calls of an idle target must not stay empty while a crowd waits elsewhere."""
     jobs = [away(name=f"call-{number:02}") for number in range(20)]
-    target = FreeTarget("here", 3, {"here": 0.0, "there": 0.1}, {"here": 10.0, "there": 10.0})
+    target = FreeTarget("here", 2, {"here": 0.0, "there": 0.1}, {"here": 10.0, "there": 10.0})
     taken = take_batch(jobs, BatchProfile(batch=8, room_bytes=HEAVY), HEAVY, 1.0, target)
     assert taken == jobs[2:10], "the first two wait 0.1 and 0.2 s at home, less than 3 MB cost"
-    swift = FreeTarget("here", 3, {"here": 0.0, "there": 0.1}, {"here": 10.0, "there": 100.0})
+    swift = FreeTarget("here", 2, {"here": 0.0, "there": 0.1}, {"here": 10.0, "there": 100.0})
     taken = take_batch(jobs, BatchProfile(batch=8, room_bytes=HEAVY), HEAVY, 1.0, swift)
     assert taken == [], "all twenty are made at home within 0.3 s"
 
 
-def test_calls_of_a_saturated_pool_are_filled_whatever_crosses():
-    """Where every target has a full call waiting, an empty slot costs more than its bytes."""
-    own = [away(name=f"own-{number}", home="here") for number in range(3)]
-    others = [away(name=f"other-{number:02}") for number in range(14)]
-    target = FreeTarget("here", 2, {"here": 0.0, "there": 0.1}, {"there": 1000.0})
-    assert take_batch([*others, *own], LARGE, HEAVY, 1.0, target) == [*own, *others[:5]]
-    assert take_batch([*others[:13], *own], LARGE, HEAVY, 1.0, target) == own, "not quite"
-
-
-def test_a_saturated_pool_lets_nothing_out_of_a_customers_places():
-    bound = [
-        msgspec.structs.replace(away(name=f"bound-{number:02}"), places=("there",))
-        for number in range(30)
-    ]
-    target = FreeTarget("here", 2, {"here": 0.0, "there": 0.1}, {"there": 1000.0})
-    assert take_batch(bound, LARGE, HEAVY, 1.0, target) == []
-
-
 def test_targets_whose_room_is_all_taken_by_others_make_nothing():
     """Seen once on the bench: such a rate of 0 ended the gateway (trouble-2, seed 20261203)."""
     jobs = [away(name=f"call-{number}") for number in range(3)]
--- a/traystall/passthrough/batching.py
+++ b/traystall/passthrough/batching.py
@@ -10,9 +10,6 @@
 _LOST_SECONDS = 0.25
 # A pool is crowded when more waits than this part of what all its targets take at once.
 _CROWDED_PART = 0.4
-# A pool is saturated when a full call for each of its targets waits: then to fill calls is worth
-# more than what crosses. Chosen; what it does is measured (docs/design/decisions-under-load.md).
-_SATURATED_PART = 1.0
 # A stage that needs more than this part of a target's whole room is not made at one target.
 _WHOLE_PART = 0.8
 # Bytes that cross data centres count as much as waiting, so many as a second (measured: more and
@@ -129,6 +126,8 @@
     to let much cross helps nobody: it waits for its home, if not for too long.
     """
     first = jobs[0]
+    if first.places and target.data_centre not in first.places:
+        return False
     crossing = target.crossing_bytes(jobs)
     wait = target.home_wait(first, ahead)
     if not crossing or crossing <= wait * _BYTES_PER_SECOND:
@@ -150,8 +149,7 @@
     """Return the pieces for one call of a target, within its batch and room.
 
     The most pressing go first. While the workers of the pool have much before them,
-    no slot is left empty for the sake of a piece's data centre; only the places of a
-    customer bind always.
+    no slot is left empty for the sake of a piece's data centre.
     The pieces of a stage are begun only where there is room for all that wait of
     it: results of half a stage would take room and be of no use. `started` names
     the calls of which some pieces were begun; those go on first.
@@ -161,42 +159,17 @@
     ranked = sorted(live, key=lambda job: (job.call_id not in started, *order_key(job, now)))
     if crowded and target.data_centre:
         ranked = _home_first(ranked, profile.batch, target)
-    going, left = _split(ranked, target, crowded, now)
-    batch = _fill(going, profile.batch, profile, room, started)
-    if len(live) > profile.batch * target.workers * _SATURATED_PART:
-        room -= sum(job.result_bytes for job in batch)
-        batch += _fill(left, profile.batch - len(batch), profile, room, started)
-    return batch
-
-
-def _split(ranked, target, crowded, now):
-    """Return the stages that may go to a target, and those that wait for their data centre.
-
-    Those that may be nowhere near the target are in neither.
-    """
-    going: list[list[PieceJob]] = []
-    left: list[list[PieceJob]] = []
-    # Pieces that are left for the targets of their data centre.
+    batch: list[PieceJob] = []
+    # Pieces that were left for the targets of their data centre.
     ahead: Counter[str] = Counter()
     for jobs in _by_call(ranked):
-        if jobs[0].places and target.data_centre not in jobs[0].places:
-            continue
-        if may_go(jobs, target, ahead, crowded, now):
-            going.append(jobs)
-        else:
-            ahead[jobs[0].data_centre] += len(jobs)
-            left.append(jobs)
-    return going, left
-
-
-def _fill(calls, size, profile, room, started):
-    """Return at most `size` pieces of some stages, the first ones first, that fit the room."""
-    batch: list[PieceJob] = []
-    for jobs in calls:
-        if len(batch) >= size:
+        if len(batch) == profile.batch:
             break
+        if not may_go(jobs, target, ahead, crowded, now):
+            ahead[jobs[0].data_centre] += len(jobs)
+            continue
         taken = _that_fit(jobs, profile, room, jobs[0].call_id in started)
-        taken = taken[: size - len(batch)]
+        taken = taken[: profile.batch - len(batch)]
         room -= sum(job.result_bytes for job in taken)
         batch += taken
     return batch
