Batch data centres that lack workers together, instead of all pieces at one gateway

Cause: batching was split by data centre only where every pool had workers in each and 1.5 of them as a mean; otherwise one gateway batched for all. With five data centres and ten workers of a pool the loss of three put the pieces of all gateways on one gateway's link of 5 Mbit/s (by calling the function; seen as a cliff, not measured by itself).

Ruled out: fewer workers for each cell everywhere (three workers would be split in one and two, which leaves half of the pieces to one of them).

Change: the weakest data centre is joined to another until each group has workers of every pool and there are 1.5 for each group, four at least. The type Cells holds names and data centres. Where there is one worker in each of three data centres nothing changes: one gateway batches for all.

--- a/traystall/passthrough/batcher.py
+++ b/traystall/passthrough/batcher.py
@@ -16,11 +16,10 @@
 from traystall.core.logs import decision
 from traystall.passthrough.admission import AdmissionBook, Arrival, Verdict
 from traystall.passthrough.attempt import Attempt
-from traystall.passthrough.cells import WHOLE, cell_of
+from traystall.passthrough.cells import cell_of
 from traystall.passthrough.context import PassContext
 from traystall.passthrough.exceptions import ExchangeError
 from traystall.passthrough.homes import StageHome, home_of_stage
-from traystall.passthrough.owners import batching_key
 from traystall.passthrough.piece_calls import request_bytes
 from traystall.passthrough.piece_queue import PieceQueue
 from traystall.rpc.client import LinkPool
@@ -198,7 +197,7 @@
     # ---- another gateway batches ----
 
     def _owner(self, cell):
-        return self._context.owners.owner(batching_key(cell), cell)
+        return self._context.batching_owner(cell)
 
     def _cell(self, request) -> str:
         data_centre = request.data_centre or ""
@@ -340,8 +339,7 @@
         if view is not None:  # A worker that is gone holds nothing.
             await self._free_at(view, worker, handles)
         data_centre = view.report.data_centre if view is not None else ""
-        cells = self._context.cells()
-        owner = self._owner(data_centre if data_centre in cells else WHOLE)
+        owner = self._owner(self._context.cells().of(data_centre))
         if owner is None:
             self.freed_here(pool, handles)
         else:
--- a/traystall/passthrough/context.py
+++ b/traystall/passthrough/context.py
@@ -7,12 +7,13 @@
 from traystall.gateway.configuration import ConfigurationFollower
 from traystall.passthrough.board import TargetBoard, TargetView
 from traystall.passthrough.budget import BudgetRule, RepeatBudget
-from traystall.passthrough.cells import batching_cells
+from traystall.passthrough.cells import Cells, batching_cells
 from traystall.passthrough.dialect import HeaderNames, StageDialect
 from traystall.passthrough.owners import Owners, batching_key
 from traystall.passthrough.places import DataCentreWatch
 from traystall.registry.follower import RegistryFollower
 from traystall.routes.matching import RouteIndex
+from traystall.tables.gateways import GatewayRow
 
 _MIN_CONNECTIONS = 4
 _MAX_ENGINE_SCALE = 3.0
@@ -50,7 +51,7 @@
         self._stage_seconds: dict[str, float] = {}
         self._engine_scale = 1.0
         # The cells, and of which targets and routes they were worked out.
-        self._cells: tuple[str, ...] = ()
+        self._cells = Cells()
         self._cells_of = (-1, -1)
 
     @property
@@ -93,14 +94,18 @@
         """Return about how long the first event takes now, for what it usually takes."""
         return usual * min(_MAX_ENGINE_SCALE, max(1.0, self._engine_scale))
 
+    def batching_owner(self, cell: str) -> GatewayRow | None:
+        """Return the gateway that batches the pieces of a cell, or None if it is this one."""
+        return self.owners.owner(batching_key(cell), self.cells().data_centres(cell))
+
     def may_repeat_batched(self, pool: str, cell: str) -> bool:
         """The same for pieces, which one gateway of a cell sends for all: it has most of it."""
-        batches = self.owners.owner(batching_key(cell), cell) is None
+        batches = self.batching_owner(cell) is None
         gateways = max(1, len(self.cells())) if batches else self.gateways()
         return self.budget(pool).take(clock.monotonic(), gateways)
 
-    def cells(self) -> tuple[str, ...]:
-        """Return the data centres that batch pieces for themselves; none if one is for all."""
+    def cells(self) -> Cells:
+        """Return the cells that batch pieces for themselves; none if one is for all."""
         held = (self.board.generation, self.index.number)
         if self._cells_of != held:
             self._cells_of = held
--- a/traystall/passthrough/owners.py
+++ b/traystall/passthrough/owners.py
@@ -33,13 +33,13 @@
     return f"batch {cell}" if cell else "batch"
 
 
-def rank(rows: list[GatewayRow], key: str, now: float, near: str = "") -> list[str]:
+def rank(rows: list[GatewayRow], key: str, now: float, near: tuple[str, ...] = ()) -> list[str]:
     """Return the identities of gateways in the order in which they own `key`.
 
-    Where a data centre is named as `near`, gateways inside it go first.
+    Where data centres are named as `near`, gateways inside them go first.
     """
     settled = [row for row in rows if now - row.started_at >= _SETTLED_SECONDS] or rows
-    inside = [row for row in settled if near and row.data_centre == near]
+    inside = [row for row in settled if row.data_centre in near]
     return rendezvous_order(key, [row.identity for row in inside or settled])
 
 
@@ -51,7 +51,7 @@
         self._known: dict[str, tuple[GatewayRow, float]] = {}
         self._left_out: dict[str, float] = {}
 
-    def owner(self, key: str, near: str = "") -> GatewayRow | None:
+    def owner(self, key: str, near: tuple[str, ...] = ()) -> GatewayRow | None:
         """Return the directory row of the owner of `key`, or None if it is this gateway."""
         now = clock.monotonic()
         rows = self._candidates(now)
--- a/traystall/passthrough/piece_queue.py
+++ b/traystall/passthrough/piece_queue.py
@@ -46,7 +46,7 @@
 class PieceQueue:
     """Hand the pieces of one pool to its targets, as many at a time as each takes.
 
-    In a cell only the targets of its data centre are called, as long as there are any.
+    In a cell only the targets of its data centres are called, as long as there are any.
     """
 
     def __init__(self, context, pool: str, cell: str = WHOLE):
@@ -127,7 +127,7 @@
             self._pump_later()
 
     def _usable(self):
-        inside = (self._cell,) if self._cell else ()
+        inside = self._context.cells().data_centres(self._cell)
         return self._context.usable(self._pool, inside) or self._context.usable(self._pool)
 
     def _profile(self) -> BatchProfile | None:
