Learn how fast engines read prompts

Cause: placement took every engine to read 60,000 tokens a second. Where they read 38,400 it believed them free while they still read, and queued prompts behind each other.

Ruled out: the scale of first events that admission learns (it counts kept parts as read, and never falls below one).

Change: the rate is learned from prompts of 1,500 unread tokens or more that an engine reads alone, from their placement to their first event.

--- a/traystall/passthrough/choice.py
+++ b/traystall/passthrough/choice.py
@@ -3,7 +3,8 @@
 import msgspec
 
 from traystall.passthrough.board import TargetView
-from traystall.passthrough.placement import READ_TOKENS_PER_SECOND, PromptPart
+from traystall.passthrough.placement import PromptPart
+from traystall.passthrough.read_rate import USUAL_TOKENS_PER_SECOND
 
 # What a request already running counts beside the new one, so that empty targets are compared too.
 _OWN_WEIGHT = 0.25
@@ -22,7 +23,7 @@
 
     def seconds(self) -> float:
         """Return about how long an engine takes to the first event, nothing being kept."""
-        return self.tokens / READ_TOKENS_PER_SECOND + _FIRST_EVENT_SECONDS
+        return self.tokens / USUAL_TOKENS_PER_SECOND + _FIRST_EVENT_SECONDS
 
 
 def parse_prompt(parts: str | None, counts: str | None) -> Prompt:
--- a/traystall/passthrough/placement.py
+++ b/traystall/passthrough/placement.py
@@ -9,10 +9,9 @@
 
 import msgspec
 
+from traystall.passthrough.read_rate import ReadRate
 from traystall.passthrough.rendezvous import rendezvous_order
 
-# Engines read about so many prompt tokens a second.
-READ_TOKENS_PER_SECOND = 60_000.0
 # Reading a shared part again costs more than its time: others wait behind it, and it is priced.
 _READ_AGAIN_WEIGHT = 2.0
 # A running request holds a new one up by about so long.
@@ -106,6 +105,7 @@
         self._placed: dict[str, str] = {}
         # The engine that the shared part now in question prefers, whoever places it.
         self._first = ""
+        self.read_rate = ReadRate()
 
     def likely(self, placement: Placement, choices: list[EngineChoice], now: float) -> str:
         """Return the engine that would get a prompt now, or an empty text."""
@@ -126,7 +126,9 @@
         self.ended(placement.request_id, now)
         choice = next(choice for choice in choices if choice.identity == identity)
         engine = self._engine(identity)
-        seconds = engine.unread(placement) / READ_TOKENS_PER_SECOND * choice.ratio
+        unread = engine.unread(placement)
+        self.read_rate.began(placement.request_id, unread, set(engine.reading), now)
+        seconds = unread / self.read_rate.tokens_per_second * choice.ratio
         engine.read_until = max(now, engine.read_until) + seconds
         engine.reading[placement.request_id] = now
         engine.running[placement.request_id] = now
@@ -136,6 +138,7 @@
 
     def started(self, request_id: str, now: float) -> None:
         """Note that a prompt has been read: its first event came."""
+        self.read_rate.came(request_id, now)
         engine = self._engines.get(self._placed.get(request_id, ""))
         if engine is None:
             return
@@ -145,6 +148,7 @@
 
     def ended(self, request_id: str, now: float) -> None:
         """Note that a request is over."""
+        self.read_rate.forget(request_id)
         self.started(request_id, now)
         engine = self._engines.get(self._placed.pop(request_id, ""))
         if engine is not None:
@@ -170,7 +174,7 @@
 
     def _cost(self, placement, choice, now):
         engine = self._engine(choice.identity)
-        unread = engine.unread(placement) / READ_TOKENS_PER_SECOND
+        unread = engine.unread(placement) / self.read_rate.tokens_per_second
         cost = max(0.0, engine.read_until - now)
         cost += unread * choice.ratio * _READ_AGAIN_WEIGHT
         cost += len(engine.running) * _RUNNING_SECONDS
