Tell those who batched and placed, not those who do so now, what is given up

Cause: while a cut or lossy data centre has a batcher of its own, results made by one batcher were told as given up to the other. Placements had the same fault: their end went to whoever places now, and the one before counted them as running for half a minute.

Change: a gateway remembers who batched each result and who placed each request and tells that one. A worker that did not answer a call that gives results up is told three times more.

Tests: tests/passthrough/test_owners.py (three cases fail on the old code), tests/passthrough/test_streams.py (results are given up again; failed before).

--- a/tests/passthrough/test_owners.py
+++ b/tests/passthrough/test_owners.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.support.emulator.gateway import STAGES, EmulatedGateway, run, table
+from tests.support.emulator.runner import Runner
 from traystall.core import clock
 from traystall.core.exceptions import RpcRefused, RpcTimeout
 from traystall.passthrough.owners import LEAVING, Owners, rank
@@ -131,7 +132,7 @@
         async with EmulatedGateway(table(stages=STAGES), []) as gateway:
             owner = msgspec.structs.replace(row("owner"), rpc_address=address)
             blamed = []
-            gateway.context.owners.owner = lambda key, near="": owner
+            gateway.context.owners.owner = lambda key, near=(): owner
             gateway.context.owners.on_error = lambda *found: blamed.append(found)
             request = ttypes.StageRequest(
                 pool="batches", request_id="r", stage=0, pieces=[0], seconds_left=0.2, call_id="c"
@@ -142,3 +143,88 @@
 
     reply, blamed, seconds = run(play())
     assert (reply.reasons, blamed, seconds) == (["late"], [], [0.2])
+
+
+class _Peer:
+    """Stand in for a gateway that batches: every piece is made, what it is told is kept."""
+
+    def __init__(self, name):
+        self.name = name
+        self.told = []
+        self.places_on = ""
+
+    async def start(self):
+        self._server = RpcServer("127.0.0.1:0", "test", "", self._answer)
+        await self._server.start()
+        address = "{}:{}".format(*self._server._server.sockets[0].getsockname())
+        self.row = msgspec.structs.replace(row(self.name), rpc_address=address)
+        return self
+
+    async def stop(self):
+        await self._server.stop()
+
+    async def _answer(self, request):
+        if isinstance(request, ttypes.PingRequest):
+            return ttypes.PingReply(identity=self.row.identity)
+        if isinstance(request, ttypes.StageFreed):
+            self.told += request.handles
+            return None
+        if isinstance(request, ttypes.PlaceRequest):
+            return ttypes.PlaceReply(identity=self.places_on)
+        if isinstance(request, ttypes.PlaceNote):
+            self.told.append(request.what)
+            return None
+        handles = [f"127.0.0.1:1/{self.name}{piece}" for piece in request.pieces]
+        return ttypes.StageReply(handles=handles, reasons=[""] * len(handles), retry_after=0.0)
+
+
+@pytest.mark.parametrize("owner_at_the_end", ["other", "this gateway", "the same"])
+def test_who_batched_pieces_is_told_that_their_results_are_given_up(owner_at_the_end):
+    """It counts the room; told to another one, that room would seem taken until its lifetime."""
+
+    async def play():
+        first, other = await _Peer("first").start(), await _Peer("other").start()
+        async with EmulatedGateway(table(stages=STAGES), []) as gateway:
+            owners = {"other": other.row, "this gateway": None, "the same": first.row}
+            gateway.context.owners.owner = lambda key, near=(): first.row
+            request = ttypes.StageRequest(
+                pool="batches", request_id="r", stage=0, pieces=[0, 1], seconds_left=2, call_id="c"
+            )
+            reply = await gateway.context.batcher.run(request)
+            gateway.context.owners.owner = lambda key, near=(): owners[owner_at_the_end]
+            gateway.context.batcher.free("batches", reply.handles)
+            async with asyncio.timeout(3):
+                while not first.told and not other.told:
+                    await asyncio.sleep(0.01)
+        await first.stop()
+        await other.stop()
+        return reply.handles, first.told, other.told
+
+    handles, first, other = run(play())
+    assert (sorted(first), other) == (sorted(handles), [])
+
+
+def test_who_placed_a_request_is_told_what_became_of_it():
+    """Told to another one, the request would count as running for half a minute."""
+
+    async def play():
+        first, other = await _Peer("first").start(), await _Peer("other").start()
+        engine = await Runner("e-1", events=3).start()
+        engine.event_seconds = 0.05
+        async with EmulatedGateway(table(), [("engine", engine)]) as gateway:
+            first.places_on = "e-1"
+            gateway.context.owners.owner = lambda key, near=(): first.row
+            prompt = {"Traystall-Prompt-Parts": "aa:10,bb:5"}
+            call = asyncio.create_task(gateway.call("/events/x", **prompt))
+            while not engine.runs:
+                await asyncio.sleep(0.005)
+            gateway.context.owners.owner = lambda key, near=(): other.row
+            status, _, _ = await call
+            async with asyncio.timeout(3):
+                while len(first.told) + len(other.told) < 2:
+                    await asyncio.sleep(0.01)
+        for peer in (first, other, engine):
+            await peer.stop()
+        return status, first.told, other.told
+
+    assert run(play()) == (200, ["started", "ended"], [])
--- a/tests/passthrough/test_streams.py
+++ b/tests/passthrough/test_streams.py
@@ -188,6 +188,25 @@
     assert len(worker.calls) == 4
 
 
+def test_results_are_given_up_again_when_a_worker_did_not_hear_it():
+    async def play():
+        engine = await Runner("e-1", events=3).start()
+        worker = await Runner("s-1", batch=4).start()
+        worker.resets_frees = 2
+        runners = [("engine", engine), ("batches", worker)]
+        headers = {"Traystall-Pieces": "3,2", "Traystall-Piece-Key": "pk"}
+        async with EmulatedGateway(table(stages=STAGES), runners) as gateway:
+            status, _, _ = await gateway.call("/staged/x", **headers)
+            async with asyncio.timeout(5):
+                while worker.held or worker.resets_frees:
+                    await asyncio.sleep(0.01)
+        await engine.stop()
+        await worker.stop()
+        return status
+
+    assert run(play()) == 200
+
+
 def test_stage_without_pieces_is_left_out():
     (status, _, _), engine, workers = run(_staged(counts="0,0"))
     assert status == 200
--- a/tests/support/emulator/runner.py
+++ b/tests/support/emulator/runner.py
@@ -45,6 +45,8 @@
         # What a report counts for each result.
         self.result_bytes = 10
         self.loses = 0
+        # So many calls that give results up are reset unread.
+        self.resets_frees = 0
         self.call_seconds = 0.0
         self.event_seconds = 0.0
         self.stop_after_events = None
@@ -87,6 +89,10 @@
         if request["path"].endswith("/pieces/run"):
             return await self._run_pieces(writer, request)
         if request["path"].endswith("/pieces/free"):
+            if self.resets_frees:
+                self.resets_frees -= 1
+                writer.transport.abort()
+                return False
             return self._free(writer, request)
         if request["path"].endswith("/report"):
             return self._report(writer, request)
--- a/traystall/passthrough/batcher.py
+++ b/traystall/passthrough/batcher.py
@@ -46,6 +46,10 @@
 # Results to be given up are collected this long, in seconds.
 _FREE_SECONDS = 0.01
 _FREE_TIMEOUT = 1.0
+# A worker that has not taken it is asked again after a pause, in seconds: with the time-outs
+# these outlast the four seconds for which the pages' workers keep a result. Chosen.
+_FREE_TRIES = 3
+_FREE_PAUSE = 0.2
 # The part of the aim that a request may wait to be let in, the part of the time left for one
 # that came back, and how often that is asked, in seconds.
 _ADMISSION_PART = 0.2
@@ -67,6 +71,8 @@
         # Calls whose requests came back and wait to be let in.
         self._wait_for_room: set[str] = set()
         self._to_free: dict[tuple[str, str], list[str]] = {}
+        # Where the room of results is counted that another gateway has batched, by handle.
+        self._counted_at: dict[str, str] = {}
         self._tasks: set[asyncio.Task] = set()
 
     async def run(self, request: StageRequest) -> StageReply:
@@ -76,9 +82,12 @@
             if owner is None:
                 break
             try:
-                return await self._run_at(owner, request)
+                reply = await self._run_at(owner, request)
             except RpcError as error:
                 self._leave(owner, request, error)
+                continue
+            self._counted_at.update(dict.fromkeys(filter(None, reply.handles), owner.rpc_address))
+            return reply
         return await self.run_here(request)
 
     def _leave(self, owner, request, error):
@@ -171,7 +180,12 @@
                 queue.freed(handles)
 
     def free(self, pool: str, handles: list[str]) -> None:
-        """Give results up at their workers, soon and many at a time."""
+        """Give results up at their workers, soon and many at a time.
+
+        Who batched the pieces is told, whoever batches now: it counts the room of their results.
+        While two data centres see different batchers, room that is told to the wrong one would
+        seem taken until the results' lifetime is over (10 of a worker's 12, for seconds).
+        """
         if not self._to_free:
             self._spawn(self._free_soon())
         for handle in handles:
@@ -334,19 +348,31 @@
             self._spawn(self._free_and_tell(pool, worker, handles))
 
     async def _free_and_tell(self, pool, worker, handles):
-        """Give results up, then tell who counts the room: before that it is still taken."""
+        """Give results up, then tell who counts the room: before that it is still taken.
+
+        A worker that did not answer has mostly heard it all the same; it is told again to be sure.
+        """
         view = self._context.board.at_address(worker)
-        if view is not None:  # A worker that is gone holds nothing.
-            await self._free_at(view, worker, handles)
-        data_centre = view.report.data_centre if view is not None else ""
-        owner = self._owner(self._context.cells().of(data_centre))
-        if owner is None:
-            self.freed_here(pool, handles)
-        else:
-            link = self._links.link(owner.rpc_address)
-            await self._send(link, StageFreed(pool=pool, handles=handles))
-
-    async def _free_at(self, view, worker, handles):
+        # A worker that is gone holds nothing.
+        if view is not None and not await self._free_at(view, worker, handles):
+            self._spawn(self._free_again(view, worker, handles))
+        counted: dict[str, list[str]] = {}
+        for handle in handles:
+            counted.setdefault(self._counted_at.pop(handle, ""), []).append(handle)
+        for address, found in counted.items():
+            if address:
+                await self._send(self._links.link(address), StageFreed(pool=pool, handles=found))
+            else:
+                self.freed_here(pool, found)
+
+    async def _free_again(self, view, worker, handles):
+        """Give results up that a worker may not have heard of."""
+        for _ in range(_FREE_TRIES):
+            await asyncio.sleep(_FREE_PAUSE)
+            if await self._free_at(view, worker, handles):
+                return
+
+    async def _free_at(self, view, worker, handles) -> bool:
         call = self._context.stage_dialect.free(handles)
         try:
             async with (
@@ -358,6 +384,8 @@
                 await attempt.read_whole()
         except (ExchangeError, TimeoutError) as error:
             logger.info("results not given up", extra={"worker": worker, "why": str(error)})
+            return False
+        return True
 
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
--- a/traystall/passthrough/placing.py
+++ b/traystall/passthrough/placing.py
@@ -54,7 +54,9 @@
         if owner is not None:
             view = await self._ask(owner, request)
             if view is not None:
+                passed.placed_at = owner.rpc_address
                 return view
+        passed.placed_at = ""
         reply = self.place_here(request)
         return self._context.board.view(reply.identity) if reply.identity else None
 
@@ -125,11 +127,11 @@
             self._context.owners.on_error(owner.identity, error)
 
     def _tell(self, passed, what):
+        """Tell who placed a request, whoever places now: only there it is counted."""
         note = PlaceNote(pool=passed.pool, request_id=passed.request_id, what=what)
         self.note_here(note)
-        owner = self._context.owners.owner(placing_key(passed.pool))
-        if owner is not None:
-            task = asyncio.create_task(self._send(self._links.link(owner.rpc_address), note))
+        if passed.placed_at:
+            task = asyncio.create_task(self._send(self._links.link(passed.placed_at), note))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
--- a/traystall/passthrough/request.py
+++ b/traystall/passthrough/request.py
@@ -46,6 +46,8 @@
         self.inputs: tuple[str, ...] = ()
         # The data centre where the results of the stages will be read, as far as it is known.
         self.home = ""
+        # Where it was placed on an engine; empty for this gateway.
+        self.placed_at = ""
         # Whether a cell that is busy should say so at once, because another may be asked.
         self.refuse_at_once = False
         self.input_bytes = sum(
