Give the pass-through gateway rooms of one job

passthrough/ had 39 modules in one folder, pure decisions beside sockets. Now: entry (callers), admission, stages, placement, exchange (targets), health and ownership; what they share stays at the top. Renamed with their rooms: stages.py is stages/chain.py, admission.py admission/book.py, placement.py placement/engines.py. Nothing else in them changes but imports.

--- a/tests/cli/test_reference.py
+++ b/tests/cli/test_reference.py
@@ -59,3 +59,38 @@
                 continue
             wrong.append(f"{path.name}: {package} imports {target}")
     assert wrong == []
+
+
+# Decisions of the pass-through gateway that a test drives without a loop or a socket.
+PURE = [
+    "admission/book",
+    "admission/waiting",
+    "admission/budget",
+    "entry/events",
+    "ownership/rendezvous",
+    "placement/engines",
+    "placement/read_rate",
+    "stages/batching",
+    "stages/cells",
+    "stages/homes",
+    "stages/room",
+    "stages/workers",
+]
+IMPURE = ("asyncio", "socket", "httptools", "logging", "random", "time", "traystall.core")
+
+
+@pytest.mark.parametrize("name", PURE)
+def test_decisions_import_nothing_that_waits_or_tells_the_time(name):
+    path = ROOT / "traystall" / "passthrough" / f"{name}.py"
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom):
+            found.add(node.module)
+    own = {module.removeprefix("traystall.passthrough.").replace(".", "/") for module in found}
+    assert not [module for module in found if module.startswith(IMPURE)]
+    inside = {
+        module for module in own if (ROOT / "traystall/passthrough" / f"{module}.py").exists()
+    }
+    assert inside <= set(PURE)
--- a/tests/passthrough/test_admission.py
+++ b/tests/passthrough/test_admission.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from traystall.passthrough.admission import AdmissionBook, Arrival
-from traystall.passthrough.waiting import WaitForecast
+from traystall.passthrough.admission.book import AdmissionBook, Arrival
+from traystall.passthrough.admission.waiting import WaitForecast
 from traystall.routes.models import Route, Split, StagePlan
 
 ROUTE = Route(
--- a/tests/passthrough/test_batching.py
+++ b/tests/passthrough/test_batching.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from traystall.passthrough.batching import FreeTarget, PieceJob, take_batch
-from traystall.passthrough.stages import away_bytes
+from traystall.passthrough.stages.batching import FreeTarget, PieceJob, take_batch
+from traystall.passthrough.stages.chain import away_bytes
 from traystall.routes.models import BatchProfile, StagePlan
 
 
--- a/tests/passthrough/test_cells.py
+++ b/tests/passthrough/test_cells.py
@@ -11,8 +11,8 @@
 from tests.support.emulator.gateway import STAGES, EmulatedGateway, run, table
 from tests.support.emulator.runner import Runner
 from traystall.core import clock
-from traystall.passthrough.cells import WHOLE, Cells, batching_cells, cell_of, other_cell
-from traystall.passthrough.owners import batching_key, rank
+from traystall.passthrough.ownership.owners import batching_key, rank
+from traystall.passthrough.stages.cells import WHOLE, Cells, batching_cells, cell_of, other_cell
 from traystall.registry.models import TargetReport
 
 ENOUGH = Counter(a=3, b=3, c=2)
--- a/tests/passthrough/test_customers_places.py
+++ b/tests/passthrough/test_customers_places.py
@@ -6,7 +6,7 @@
 from tests.support.emulator.gateway import KEY, STAGES, EmulatedGateway, run, table
 from tests.support.emulator.runner import Runner
 from traystall.core import clock
-from traystall.passthrough.batching import FreeTarget, PieceJob, take_batch
+from traystall.passthrough.stages.batching import FreeTarget, PieceJob, take_batch
 from traystall.registry.models import TargetReport
 from traystall.routes.models import BatchProfile, KeyedCustomer
 
--- a/tests/passthrough/test_decisions.py
+++ b/tests/passthrough/test_decisions.py
@@ -5,19 +5,19 @@
 
 import pytest
 
-from traystall.passthrough.board import TargetBoard
-from traystall.passthrough.budget import BudgetRule, RepeatBudget
-from traystall.passthrough.choice import Prompt, choose_target, parse_prompt
-from traystall.passthrough.placement import (
+from traystall.passthrough.admission.budget import BudgetRule, RepeatBudget
+from traystall.passthrough.health.board import TargetBoard
+from traystall.passthrough.health.places import DataCentreWatch
+from traystall.passthrough.ownership.rendezvous import rendezvous_order
+from traystall.passthrough.placement.choice import Prompt, choose_target, parse_prompt
+from traystall.passthrough.placement.engines import (
     EngineChoice,
     EnginePlacer,
     Placement,
     PromptPart,
 )
-from traystall.passthrough.places import DataCentreWatch
-from traystall.passthrough.rendezvous import rendezvous_order
-from traystall.passthrough.room import RoomBook
-from traystall.passthrough.workers import SLOW_RATIO, Worker
+from traystall.passthrough.stages.room import RoomBook
+from traystall.passthrough.stages.workers import SLOW_RATIO, Worker
 from traystall.registry.models import RegisteredState, TargetReport
 from traystall.routes.models import BatchProfile
 
--- a/tests/passthrough/test_drain.py
+++ b/tests/passthrough/test_drain.py
@@ -7,7 +7,7 @@
 
 from tests.support.emulator.gateway import STAGES, EmulatedGateway, run, table
 from tests.support.emulator.runner import Runner
-from traystall.passthrough.drain import Drain, Phase
+from traystall.passthrough.entry.drain import Drain, Phase
 
 # Requests arrive in each tenth of a stop, the notice being the first four of them.
 TENTHS = range(10)
--- a/tests/passthrough/test_exchange_faults.py
+++ b/tests/passthrough/test_exchange_faults.py
@@ -186,7 +186,7 @@
 
 
 def test_budget_bounds_what_is_sent_again():
-    from traystall.passthrough.budget import BudgetRule
+    from traystall.passthrough.admission.budget import BudgetRule
 
     async def play():
         runners = [await Runner(f"r-{i}", faults=["failed"] * 100).start() for i in range(2)]
--- a/tests/passthrough/test_homes.py
+++ b/tests/passthrough/test_homes.py
@@ -9,7 +9,7 @@
 from tests.support.emulator.gateway import EmulatedGateway, run, table
 from tests.support.emulator.runner import Runner
 from traystall.core import clock
-from traystall.passthrough.homes import StageHome, home_of_stage
+from traystall.passthrough.stages.homes import StageHome, home_of_stage
 from traystall.registry.models import TargetReport
 from traystall.routes.models import StagePlan
 
--- a/tests/passthrough/test_owners.py
+++ b/tests/passthrough/test_owners.py
@@ -9,8 +9,8 @@
 from tests.support.emulator.runner import Runner
 from traystall.core import clock
 from traystall.core.exceptions import RpcRefused, RpcTimeout
-from traystall.passthrough.owners import LEAVING, Owners, rank
-from traystall.passthrough.places import DataCentreWatch
+from traystall.passthrough.health.places import DataCentreWatch
+from traystall.passthrough.ownership.owners import LEAVING, Owners, rank
 from traystall.rpc.gen.wire import ttypes
 from traystall.rpc.server import RpcServer
 from traystall.tables.gateways import GatewayRow
--- a/tests/passthrough/test_places.py
+++ b/tests/passthrough/test_places.py
@@ -7,8 +7,8 @@
 import pytest
 
 from traystall.core import clock
-from traystall.passthrough.places import DataCentreWatch
-from traystall.passthrough.probing import PlaceProber
+from traystall.passthrough.health.places import DataCentreWatch
+from traystall.passthrough.health.probing import PlaceProber
 from traystall.rpc.client import LinkIdentity, LinkPool
 from traystall.rpc.gen.wire.ttypes import PingReply
 from traystall.rpc.server import RpcServer
--- a/tests/passthrough/test_read_rate.py
+++ b/tests/passthrough/test_read_rate.py
@@ -2,8 +2,13 @@
 
 import pytest
 
-from traystall.passthrough.placement import EngineChoice, EnginePlacer, Placement, PromptPart
-from traystall.passthrough.read_rate import USUAL_TOKENS_PER_SECOND, ReadRate
+from traystall.passthrough.placement.engines import (
+    EngineChoice,
+    EnginePlacer,
+    Placement,
+    PromptPart,
+)
+from traystall.passthrough.placement.read_rate import USUAL_TOKENS_PER_SECOND, ReadRate
 
 FIRST_EVENT = 0.05
 
--- a/tests/passthrough/test_streams.py
+++ b/tests/passthrough/test_streams.py
@@ -7,8 +7,8 @@
 
 from tests.support.emulator.gateway import STAGES, EmulatedGateway, run, table
 from tests.support.emulator.runner import Runner
-from traystall.passthrough.cells import WHOLE
-from traystall.passthrough.events import EventSplitter, event_id, follows, is_next
+from traystall.passthrough.entry.events import EventSplitter, event_id, follows, is_next
+from traystall.passthrough.stages.cells import WHOLE
 
 
 def whole(count):
--- a/tests/platform/test_forged_headers.py
+++ b/tests/platform/test_forged_headers.py
@@ -3,7 +3,7 @@
 import pytest
 from traystall_platform.names import HEADERS
 
-from traystall.passthrough.messages import CallerRequest, RequestWriter
+from traystall.passthrough.entry.messages import CallerRequest, RequestWriter
 
 OURS = (
     "X-Hold",
--- a/tests/support/emulator/gateway.py
+++ b/tests/support/emulator/gateway.py
@@ -7,12 +7,12 @@
 from traystall.core import clock
 from traystall.core.ids import new_id
 from traystall.http.server import HttpServer
-from traystall.passthrough.batcher import Batcher
-from traystall.passthrough.budget import BudgetRule
+from traystall.passthrough.admission.budget import BudgetRule
 from traystall.passthrough.context import PassContext
 from traystall.passthrough.dialect import HeaderNames, PlainStageDialect
-from traystall.passthrough.front import PassFront
-from traystall.passthrough.placing import Placing
+from traystall.passthrough.entry.front import PassFront
+from traystall.passthrough.placement.placing import Placing
+from traystall.passthrough.stages.batcher import Batcher
 from traystall.registry.models import TargetReport
 from traystall.routes.models import (
     BatchProfile,
--- a/traystall/passthrough/admission.py
+++ b/traystall/passthrough/admission/book.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from traystall.passthrough.waiting import WaitForecast
+from traystall.passthrough.admission.waiting import WaitForecast
 from traystall.routes.models import Route
 
 # A request must be expected this part of its aim before it is late: a forecast errs both ways.
--- a/traystall/passthrough/context.py
+++ b/traystall/passthrough/context.py
@@ -5,12 +5,12 @@
 
 from traystall.core import clock
 from traystall.gateway.configuration import ConfigurationFollower
-from traystall.passthrough.board import TargetBoard, TargetView
-from traystall.passthrough.budget import BudgetRule, RepeatBudget
-from traystall.passthrough.cells import Cells, batching_cells
+from traystall.passthrough.admission.budget import BudgetRule, RepeatBudget
 from traystall.passthrough.dialect import HeaderNames, StageDialect
-from traystall.passthrough.owners import Owners, batching_key
-from traystall.passthrough.places import DataCentreWatch
+from traystall.passthrough.health.board import TargetBoard, TargetView
+from traystall.passthrough.health.places import DataCentreWatch
+from traystall.passthrough.ownership.owners import Owners, batching_key
+from traystall.passthrough.stages.cells import Cells, batching_cells
 from traystall.registry.follower import RegistryFollower
 from traystall.routes.matching import RouteIndex
 from traystall.tables.gateways import GatewayRow
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -14,16 +14,16 @@
 from traystall.http.health import add_health_pages
 from traystall.http.router import Router
 from traystall.http.server import HttpServer
-from traystall.passthrough.batcher import Batcher
-from traystall.passthrough.budget import BudgetRule
+from traystall.passthrough.admission.budget import BudgetRule
 from traystall.passthrough.context import PassContext
 from traystall.passthrough.dialect import HeaderNames, PlainStageDialect, StageDialect
-from traystall.passthrough.drain import Drain
-from traystall.passthrough.front import PassFront
-from traystall.passthrough.owners import LEAVING
-from traystall.passthrough.placing import Placing
-from traystall.passthrough.probing import PlaceProber
+from traystall.passthrough.entry.drain import Drain
+from traystall.passthrough.entry.front import PassFront
+from traystall.passthrough.health.probing import PlaceProber
+from traystall.passthrough.ownership.owners import LEAVING
+from traystall.passthrough.placement.placing import Placing
 from traystall.passthrough.settings import SETTINGS, check_gateway
+from traystall.passthrough.stages.batcher import Batcher
 from traystall.registry.follower import RegistryFollower
 from traystall.routes.tables import RoutingTables, Translator, translate_entities
 from traystall.rpc.client import LinkIdentity, LinkPool
--- /dev/null
+++ b/traystall/passthrough/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: requests as they come, events as they go, the phases of a stop."""
--- a/traystall/passthrough/front.py
+++ b/traystall/passthrough/entry/front.py
@@ -9,11 +9,11 @@
 from traystall.http.messages import Response, text_response
 from traystall.http.request import Request
 from traystall.passthrough.context import PassContext
-from traystall.passthrough.drain import Phase
+from traystall.passthrough.entry.drain import Phase
+from traystall.passthrough.entry.messages import CallerRequest
+from traystall.passthrough.entry.request import PassRequest
 from traystall.passthrough.exceptions import Refusal
-from traystall.passthrough.messages import CallerRequest
-from traystall.passthrough.request import PassRequest
-from traystall.passthrough.runner import PassRunner
+from traystall.passthrough.exchange.runner import PassRunner
 from traystall.routes.matching import choose_pool
 
 NOT_READY_RETRY_AFTER = 0.5
--- a/traystall/passthrough/messages.py
+++ b/traystall/passthrough/entry/messages.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from traystall.http.messages import Header
-from traystall.passthrough.connection import ResponseHead
 from traystall.passthrough.dialect import HeaderNames
+from traystall.passthrough.exchange.connection import ResponseHead
 
 _HOP_BY_HOP = frozenset(
     (
--- a/traystall/passthrough/request.py
+++ b/traystall/passthrough/entry/request.py
@@ -3,10 +3,10 @@
 import asyncio
 
 from traystall.core import clock
-from traystall.passthrough.choice import Prompt, parse_prompt
 from traystall.passthrough.dialect import HeaderNames
+from traystall.passthrough.entry.messages import CallerRequest, RequestWriter
 from traystall.passthrough.exceptions import Refusal
-from traystall.passthrough.messages import CallerRequest, RequestWriter
+from traystall.passthrough.placement.choice import Prompt, parse_prompt
 from traystall.routes.models import KeyedCustomer, Route
 
 # A final answer is given this long before the deadline, in seconds, so that it arrives in time.
--- a/traystall/passthrough/sink.py
+++ b/traystall/passthrough/entry/sink.py
@@ -2,11 +2,11 @@
 
 from traystall.core import clock
 from traystall.http.request import Request
-from traystall.passthrough import events
-from traystall.passthrough.connection import ResponseHead
+from traystall.passthrough.entry import events
+from traystall.passthrough.entry.messages import answer_headers
+from traystall.passthrough.entry.request import PassRequest
 from traystall.passthrough.exceptions import NoAnswer
-from traystall.passthrough.messages import answer_headers
-from traystall.passthrough.request import PassRequest
+from traystall.passthrough.exchange.connection import ResponseHead
 
 
 class StreamSink:
--- /dev/null
+++ b/traystall/passthrough/exchange/__init__.py
@@ -0,0 +1,1 @@
+"""The targets' side: connections, attempts, and what a failure allows."""
--- a/traystall/passthrough/attempt.py
+++ b/traystall/passthrough/exchange/attempt.py
@@ -6,10 +6,10 @@
 import msgspec
 
 from traystall.core import clock
-from traystall.passthrough.board import TargetView
-from traystall.passthrough.connection import ResponseHead, TargetConnection
 from traystall.passthrough.dialect import HeaderNames
 from traystall.passthrough.exceptions import NoAnswer
+from traystall.passthrough.exchange.connection import ResponseHead, TargetConnection
+from traystall.passthrough.health.board import TargetView
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # Answers of earlier requests that may come in the place where one is due.
--- a/traystall/passthrough/failures.py
+++ b/traystall/passthrough/exchange/failures.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from traystall.passthrough.attempt import Answer
-from traystall.passthrough.connection import ResponseHead
 from traystall.passthrough.dialect import HeaderNames
-from traystall.passthrough.request import PassRequest
+from traystall.passthrough.entry.request import PassRequest
+from traystall.passthrough.exchange.attempt import Answer
+from traystall.passthrough.exchange.connection import ResponseHead
 
 # Less time than this, in seconds, is not enough for another attempt.
 MIN_SECONDS = 0.02
--- a/traystall/passthrough/pool.py
+++ b/traystall/passthrough/exchange/pool.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 from traystall.core import clock
-from traystall.passthrough.connection import ResponseHead, TargetConnection, connect
 from traystall.passthrough.exceptions import ConnectFailed
+from traystall.passthrough.exchange.connection import ResponseHead, TargetConnection, connect
 
 # A kept connection is left this long, in seconds, before the target would close it.
 _MARGIN_SECONDS = 0.6
--- a/traystall/passthrough/runner.py
+++ b/traystall/passthrough/exchange/runner.py
@@ -11,17 +11,17 @@
 from traystall.core.logs import decision
 from traystall.http.messages import Response
 from traystall.http.request import Request
-from traystall.passthrough import choice
-from traystall.passthrough.attempt import PROMISES, Answer, Attempt, before
-from traystall.passthrough.board import TargetView
-from traystall.passthrough.cells import cell_of, other_cell
 from traystall.passthrough.context import PassContext
+from traystall.passthrough.entry.messages import answer_headers
+from traystall.passthrough.entry.request import PassRequest
+from traystall.passthrough.entry.sink import StreamSink
 from traystall.passthrough.exceptions import (
     ExchangeError,
     NoAnswer,
     Refusal,
 )
-from traystall.passthrough.failures import (
+from traystall.passthrough.exchange.attempt import PROMISES, Answer, Attempt, before
+from traystall.passthrough.exchange.failures import (
     MIN_SECONDS,
     Failure,
     FailureKind,
@@ -30,10 +30,10 @@
     may_try_again,
     pause_after_refusal,
 )
-from traystall.passthrough.messages import answer_headers
-from traystall.passthrough.request import PassRequest
-from traystall.passthrough.sink import StreamSink
-from traystall.passthrough.stages import InputsGone, StageChain, StageFailed
+from traystall.passthrough.health.board import TargetView
+from traystall.passthrough.placement import choice
+from traystall.passthrough.stages.cells import cell_of, other_cell
+from traystall.passthrough.stages.chain import InputsGone, StageChain, StageFailed
 
 # A request that must not run twice goes only on connections that rested less than this, in
 # seconds: one that the target closes meanwhile would leave a doubt.
--- /dev/null
+++ b/traystall/passthrough/health/__init__.py
@@ -0,0 +1,1 @@
+"""What is known of targets and data centres."""
--- a/traystall/passthrough/board.py
+++ b/traystall/passthrough/health/board.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from traystall.passthrough.exceptions import ExchangeError
-from traystall.passthrough.places import DataCentreWatch
-from traystall.passthrough.pool import ConnectionPool
+from traystall.passthrough.exchange.pool import ConnectionPool
+from traystall.passthrough.health.places import DataCentreWatch
 from traystall.registry.models import RegisteredState, TargetReport
 from traystall.registry.table import Registry
 
--- /dev/null
+++ b/traystall/passthrough/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Which one gateway does something for all."""
--- /dev/null
+++ b/traystall/passthrough/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which engine or target gets a request."""
--- a/traystall/passthrough/choice.py
+++ b/traystall/passthrough/placement/choice.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-from traystall.passthrough.board import TargetView
-from traystall.passthrough.placement import PromptPart
-from traystall.passthrough.read_rate import USUAL_TOKENS_PER_SECOND
+from traystall.passthrough.health.board import TargetView
+from traystall.passthrough.placement.engines import PromptPart
+from traystall.passthrough.placement.read_rate import USUAL_TOKENS_PER_SECOND
 
 # What a request already running counts beside the new one, so that empty targets are compared too.
 _OWN_WEIGHT = 0.25
--- a/traystall/passthrough/placing.py
+++ b/traystall/passthrough/placement/placing.py
@@ -6,10 +6,15 @@
 from traystall.core import clock
 from traystall.core.exceptions import RpcError, RpcTimeout
 from traystall.core.logs import decision
-from traystall.passthrough.board import TargetView
-from traystall.passthrough.owners import placing_key
-from traystall.passthrough.placement import EngineChoice, EnginePlacer, Placement, PromptPart
-from traystall.passthrough.request import PassRequest
+from traystall.passthrough.entry.request import PassRequest
+from traystall.passthrough.health.board import TargetView
+from traystall.passthrough.ownership.owners import placing_key
+from traystall.passthrough.placement.engines import (
+    EngineChoice,
+    EnginePlacer,
+    Placement,
+    PromptPart,
+)
 from traystall.rpc.client import LinkPool
 from traystall.rpc.gen.wire.ttypes import PlaceNote, PlaceReply, PlaceRequest
 
--- a/traystall/passthrough/batcher.py
+++ b/traystall/passthrough/stages/batcher.py
@@ -14,14 +14,14 @@
 from traystall.core import clock
 from traystall.core.exceptions import RpcError
 from traystall.core.logs import decision
-from traystall.passthrough.admission import AdmissionBook, Arrival, Verdict
-from traystall.passthrough.attempt import Attempt
-from traystall.passthrough.cells import cell_of
+from traystall.passthrough.admission.book import AdmissionBook, Arrival, Verdict
 from traystall.passthrough.context import PassContext
 from traystall.passthrough.exceptions import ExchangeError
-from traystall.passthrough.homes import StageHome, home_of_stage
-from traystall.passthrough.piece_calls import request_bytes
-from traystall.passthrough.piece_queue import PieceQueue
+from traystall.passthrough.exchange.attempt import Attempt
+from traystall.passthrough.stages.cells import cell_of
+from traystall.passthrough.stages.homes import StageHome, home_of_stage
+from traystall.passthrough.stages.piece_calls import request_bytes
+from traystall.passthrough.stages.piece_queue import PieceQueue
 from traystall.rpc.client import LinkPool
 from traystall.rpc.gen.wire.ttypes import (
     PingReply,
--- a/traystall/passthrough/cells.py
+++ b/traystall/passthrough/stages/cells.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from traystall.passthrough.rendezvous import rendezvous_order
+from traystall.passthrough.ownership.rendezvous import rendezvous_order
 
 # The whole system as one cell.
 WHOLE = ""
--- a/traystall/passthrough/piece_calls.py
+++ b/traystall/passthrough/stages/piece_calls.py
@@ -3,11 +3,11 @@
 import asyncio
 
 from traystall.core import clock
-from traystall.passthrough.attempt import Attempt
-from traystall.passthrough.batching import PieceJob
-from traystall.passthrough.board import TargetView
 from traystall.passthrough.dialect import HttpCall, PieceOrder, PieceResult
 from traystall.passthrough.exceptions import NoAnswer
+from traystall.passthrough.exchange.attempt import Attempt
+from traystall.passthrough.health.board import TargetView
+from traystall.passthrough.stages.batching import PieceJob
 
 # The reason of pieces whose call was never sent.
 UNREACHABLE = "unreachable"
--- a/traystall/passthrough/piece_queue.py
+++ b/traystall/passthrough/stages/piece_queue.py
@@ -6,14 +6,14 @@
 
 from traystall.core import clock
 from traystall.core.logs import decision
-from traystall.passthrough.batching import FreeTarget, PieceJob, take_batch
-from traystall.passthrough.cells import WHOLE
 from traystall.passthrough.dialect import PieceResult
 from traystall.passthrough.exceptions import ExchangeError
-from traystall.passthrough.homes import StageHome
-from traystall.passthrough.piece_calls import FULL, UNREACHABLE, call_worker
-from traystall.passthrough.room_watch import RoomWatch
-from traystall.passthrough.workers import SLOW_RATIO, Worker, overdue_after
+from traystall.passthrough.stages.batching import FreeTarget, PieceJob, take_batch
+from traystall.passthrough.stages.cells import WHOLE
+from traystall.passthrough.stages.homes import StageHome
+from traystall.passthrough.stages.piece_calls import FULL, UNREACHABLE, call_worker
+from traystall.passthrough.stages.room_watch import RoomWatch
+from traystall.passthrough.stages.workers import SLOW_RATIO, Worker, overdue_after
 from traystall.routes.models import BatchProfile
 from traystall.rpc.gen.wire.ttypes import StageReply, StageRequest
 
--- a/traystall/passthrough/room_watch.py
+++ b/traystall/passthrough/stages/room_watch.py
@@ -11,10 +11,10 @@
 
 from traystall.core import clock
 from traystall.core.logs import decision
-from traystall.passthrough.attempt import Attempt
 from traystall.passthrough.exceptions import ExchangeError
-from traystall.passthrough.piece_calls import request_bytes
-from traystall.passthrough.workers import Worker
+from traystall.passthrough.exchange.attempt import Attempt
+from traystall.passthrough.stages.piece_calls import request_bytes
+from traystall.passthrough.stages.workers import Worker
 from traystall.routes.models import BatchProfile
 
 # How long an answer is waited for, in seconds, and how often a worker is asked at the most.
--- a/traystall/passthrough/workers.py
+++ b/traystall/passthrough/stages/workers.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from traystall.passthrough.room import RoomBook
+from traystall.passthrough.stages.room import RoomBook
 from traystall.routes.models import BatchProfile
 
 # A target that takes this many times what it should is left for pressing work.
