Give the releases of results a module of their own

stages/batcher.py had a second job, giving results up, which had grown by who is told. stages/releases.py does that now; nothing in it has changed but names.

--- a/traystall/passthrough/stages/batcher.py
+++ b/traystall/passthrough/stages/batcher.py
@@ -16,18 +16,15 @@
 from traystall.core.logs import decision
 from traystall.passthrough.admission.book import AdmissionBook, Arrival, Verdict
 from traystall.passthrough.context import PassContext
-from traystall.passthrough.exceptions import ExchangeError
-from traystall.passthrough.exchange.attempt import Attempt
 from traystall.passthrough.stages.cells import cell_of
 from traystall.passthrough.stages.homes import StageHome, home_of_stage
-from traystall.passthrough.stages.piece_calls import request_bytes
 from traystall.passthrough.stages.piece_queue import PieceQueue
+from traystall.passthrough.stages.releases import Releases
 from traystall.rpc.client import LinkPool
 from traystall.rpc.gen.wire.ttypes import (
     PingReply,
     PingRequest,
     StageCancel,
-    StageFreed,
     StageReply,
     StageRequest,
 )
@@ -43,13 +40,6 @@
 # A batcher that ends a stage because its time is over is given so long, in seconds, to say so:
 # some times what a lost packet takes to be sent again on a link of 1.4 ms. Chosen, not measured.
 _REPLY_SECONDS = 0.3
-# Results to be given up are collected this long, in seconds.
-_FREE_SECONDS = 0.01
-_FREE_TIMEOUT = 1.0
-# A worker that has not taken it is asked again after a pause, in seconds: with the time-outs
-# these outlast the four seconds for which the pages' workers keep a result. Chosen.
-_FREE_TRIES = 3
-_FREE_PAUSE = 0.2
 # The part of the aim that a request may wait to be let in, the part of the time left for one
 # that came back, and how often that is asked, in seconds.
 _ADMISSION_PART = 0.2
@@ -70,9 +60,7 @@
         self._books: dict[str, AdmissionBook] = {}
         # Calls whose requests came back and wait to be let in.
         self._wait_for_room: set[str] = set()
-        self._to_free: dict[tuple[str, str], list[str]] = {}
-        # Where the room of results is counted that another gateway has batched, by handle.
-        self._counted_at: dict[str, str] = {}
+        self._releases = Releases(context, links, self.freed_here)
         self._tasks: set[asyncio.Task] = set()
 
     async def run(self, request: StageRequest) -> StageReply:
@@ -86,7 +74,7 @@
             except RpcError as error:
                 self._leave(owner, request, error)
                 continue
-            self._counted_at.update(dict.fromkeys(filter(None, reply.handles), owner.rpc_address))
+            self._releases.note_batched(reply.handles, owner.rpc_address)
             return reply
         return await self.run_here(request)
 
@@ -180,17 +168,8 @@
                 queue.freed(handles)
 
     def free(self, pool: str, handles: list[str]) -> None:
-        """Give results up at their workers, soon and many at a time.
-
-        Who batched the pieces is told, whoever batches now: it counts the room of their results.
-        While two data centres see different batchers, room that is told to the wrong one would
-        seem taken until the results' lifetime is over (10 of a worker's 12, for seconds).
-        """
-        if not self._to_free:
-            self._spawn(self._free_soon())
-        for handle in handles:
-            worker = self._context.stage_dialect.worker(handle)
-            self._to_free.setdefault((pool, worker), []).append(handle)
+        """Give results up."""
+        self._releases.give_up(pool, handles)
 
     async def drain(self, seconds: float) -> None:
         """Return once nobody waits for pieces that are batched here, or after `seconds`."""
@@ -205,6 +184,7 @@
 
     def close(self) -> None:
         """End what is under way."""
+        self._releases.close()
         for task in self._tasks:
             task.cancel()
 
@@ -339,54 +319,6 @@
             found = self._queues[cell, pool] = PieceQueue(self._context, pool, cell)
         return found
 
-    # ---- giving results up ----
-
-    async def _free_soon(self):
-        await asyncio.sleep(_FREE_SECONDS)
-        batches, self._to_free = self._to_free, {}
-        for (pool, worker), handles in batches.items():
-            self._spawn(self._free_and_tell(pool, worker, handles))
-
-    async def _free_and_tell(self, pool, worker, handles):
-        """Give results up, then tell who counts the room: before that it is still taken.
-
-        A worker that did not answer has mostly heard it all the same; it is told again to be sure.
-        """
-        view = self._context.board.at_address(worker)
-        # A worker that is gone holds nothing.
-        if view is not None and not await self._free_at(view, worker, handles):
-            self._spawn(self._free_again(view, worker, handles))
-        counted: dict[str, list[str]] = {}
-        for handle in handles:
-            counted.setdefault(self._counted_at.pop(handle, ""), []).append(handle)
-        for address, found in counted.items():
-            if address:
-                await self._send(self._links.link(address), StageFreed(pool=pool, handles=found))
-            else:
-                self.freed_here(pool, found)
-
-    async def _free_again(self, view, worker, handles):
-        """Give results up that a worker may not have heard of."""
-        for _ in range(_FREE_TRIES):
-            await asyncio.sleep(_FREE_PAUSE)
-            if await self._free_at(view, worker, handles):
-                return
-
-    async def _free_at(self, view, worker, handles) -> bool:
-        call = self._context.stage_dialect.free(handles)
-        try:
-            async with (
-                asyncio.timeout(_FREE_TIMEOUT),
-                Attempt(view, self._context.names, None) as attempt,
-            ):
-                await attempt.open(float("inf"))
-                attempt.send(request_bytes(call, worker))
-                await attempt.read_whole()
-        except (ExchangeError, TimeoutError) as error:
-            logger.info("results not given up", extra={"worker": worker, "why": str(error)})
-            return False
-        return True
-
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
