--- a/tests/consensus/test_breakages.py
+++ b/tests/consensus/test_breakages.py
@@ -13,6 +13,9 @@
 from traystall.consensus.quorum import reached_by_majority
 from traystall.consensus.replica import Replica
 from traystall.core.exceptions import ConsensusError
+from traystall.evacuations.held import HeldEvacuations, from_wire
+from traystall.evacuations.models import OrderEvacuation
+from traystall.evacuations.state import Evacuations
 from traystall.gateway.configuration import HeldRevision
 from traystall.ledger.models import ClaimOutcome, ClaimResult
 from traystall.ledger.state import Ledger
@@ -292,7 +295,41 @@
     patch.setattr(Ledger, "restore", lambda self, data: None)
 
 
+def evacuations_lost_in_snapshot(patch):
+    """A snapshot leaves the evacuations out."""
+    patch.setattr(Evacuations, "snapshot", lambda self: b"")
+
+
+def evacuation_lost_at_version(patch):
+    """A gateway takes any version for news, an earlier one too."""
+
+    def take(self, told):
+        self.places = from_wire(told)
+        return True
+
+    patch.setattr(HeldEvacuations, "take", take)
+
+
+def evacuation_answered_before_commit(patch):
+    """The leader acknowledges an evacuation when it is proposed, not when it is committed."""
+    original = Host.propose
+
+    def propose(self, command, callback):
+        if not isinstance(command, OrderEvacuation):
+            original(self, command, callback)
+            return
+        original(self, command, lambda result: None)
+        held = Evacuations()
+        held.restore(self.state.evacuations.snapshot())
+        callback(held.order(command))
+
+    patch.setattr(Host, "propose", propose)
+
+
 BREAKAGES = [
+    evacuations_lost_in_snapshot,
+    evacuation_lost_at_version,
+    evacuation_answered_before_commit,
     vote_not_synced,
     replies_before_sync,
     own_log_counts_unsynced,
--- /dev/null
+++ b/tests/passthrough/test_cold.py
@@ -0,0 +1,153 @@
+"""Cold targets get what they bear, summed over all gateways, whatever each of them knows."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.support.emulator.gateway import EmulatedGateway, run, table
+from tests.support.emulator.runner import Runner
+from traystall.core import clock
+from traystall.passthrough.health.cold import (
+    WINDOW_SECONDS,
+    ColdBook,
+    ColdRule,
+    coordinator_allowance,
+    own_allowance,
+)
+from traystall.registry.models import TargetReport
+from traystall.registry.records import to_record, to_report
+from traystall.registry.table import Registry
+from traystall.rpc.gen.wire.ttypes import PlaceRequest
+
+RULES = st.builds(ColdRule, excess=st.floats(1.0, 3.0), slack=st.floats(0.0, 20.0))
+
+
+def gateways(count):
+    return [f"gateway-{number}" for number in range(count)]
+
+
+@given(RULES, st.floats(0.5, 200.0), st.integers(1, 120))
+def test_what_gateways_take_by_themselves_stays_within_the_bound(rule, per_second, count):
+    names = gateways(count)
+    taken = [own_allowance(rule, per_second, "t", name, names, dealt=True) for name in names]
+    assert sum(taken) <= rule.bound(per_second)
+    assert max(taken) - min(taken) <= 1
+
+
+@given(RULES, st.floats(3.0, 200.0), st.integers(1, 120))
+def test_two_coordinators_and_all_others_stay_within_the_bound(rule, per_second, count):
+    names = gateways(count)
+    alone = sum(own_allowance(rule, per_second, "t", name, names, dealt=False) for name in names)
+    acting = 2 * coordinator_allowance(rule, per_second)
+    assert acting + alone <= rule.bound(per_second)
+
+
+def test_coordinator_gives_a_cold_target_most_of_what_it_bears():
+    assert coordinator_allowance(ColdRule(1.5, 5.0), 9.1) == 7
+    assert coordinator_allowance(ColdRule(3.0, 5.0), 9.1) == 9
+
+
+def test_gateway_that_no_directory_lists_counts_itself():
+    assert own_allowance(ColdRule(), 10.0, "t", "new", [], dealt=True) == 9
+    assert own_allowance(ColdRule(), 10.0, "t", "new", gateways(8), dealt=True) == 1
+
+
+def test_book_counts_a_window():
+    book = ColdBook()
+    for at in (0.0, 0.5, 1.0):
+        book.note("t", at)
+    assert book.count("t", 1.0) == 3
+    assert book.count("t", WINDOW_SECONDS) == 2
+    assert book.count("other", 1.0) == 0
+    book.retain({"other"})
+    assert book.count("t", 1.0) == 0
+
+
+def report(sequence, warming, identity="t"):
+    return TargetReport(identity, "engine", "1.2.3.4:5", "here", sequence=sequence, warming=warming)
+
+
+def test_target_that_goes_cold_again_is_news():
+    registry = Registry()
+    registry.merge(report(1, 3.0), 10.0)
+    assert registry.get("t").cold_until == 13.0
+    version = registry.version
+    assert not registry.merge(report(2, 1.8), 11.2)
+    assert registry.version == version
+    assert not registry.merge(report(3, 0.0), 14.0)
+    assert registry.merge(report(4, 3.0), 20.0)
+    assert registry.get("t").cold_until == 23.0
+
+
+def test_late_report_says_nothing_of_cold():
+    registry = Registry()
+    registry.merge(report(4, 0.0), 20.0)
+    assert not registry.merge(report(2, 3.0), 21.0)
+    assert registry.get("t").cold_until <= 20.0
+
+
+def test_cold_is_the_same_moment_at_whoever_hears_of_it_later():
+    registry, other = Registry(), Registry()
+    registry.merge(report(1, 3.0), 10.0)
+    registry.saw("t", 11.5)
+    record = to_record(registry.get("t"), now=12.0)
+    other.merge(to_report(record), seen_at=12.0 - record.age)
+    assert other.get("t").cold_until == pytest.approx(13.0)
+
+
+def cold_table(per_second=4.0):
+    found = table()
+    pools = tuple(
+        msgspec.structs.replace(pool, cold_seconds=3.0, cold_per_second=per_second)
+        for pool in found.pools
+    )
+    return msgspec.structs.replace(found, pools=pools)
+
+
+def place(gateway, number):
+    request = PlaceRequest(pool="engine", request_id=f"r{number}", tokens=100, book=True)
+    return gateway.context.placing.place_here(request).identity
+
+
+def test_placer_gives_a_cold_engine_its_part_and_warm_ones_the_rest():
+    async def story():
+        engines = [await Runner(f"e-{n}", events=1).start() for n in range(2)]
+        async with EmulatedGateway(cold_table(), [("engine", e) for e in engines]) as gateway:
+            cold = TargetReport("e-0", "engine", engines[0].address, "here", sequence=2, warming=3)
+            gateway.context.board.merge(cold, clock.monotonic())
+            placed = [place(gateway, number) for number in range(30)]
+            allowed = coordinator_allowance(ColdRule(), 4.0)
+            assert placed.count("e-0") <= allowed
+            assert placed.count("e-1") == 30 - placed.count("e-0")
+
+    run(story())
+
+
+def test_gateway_that_places_for_itself_spares_cold_engines():
+    async def story():
+        engines = [await Runner(f"e-{n}", events=1).start() for n in range(2)]
+        async with EmulatedGateway(cold_table(), [("engine", e) for e in engines]) as gateway:
+            cold = TargetReport("e-0", "engine", engines[0].address, "here", sequence=2, warming=3)
+            gateway.context.board.merge(cold, clock.monotonic())
+            view = gateway.context.board.view("e-0")
+            assert gateway.context.may_warm(view, for_all=True)
+            assert not gateway.context.may_warm(view)
+
+    run(story())
+
+
+def test_plain_targets_that_are_cold_get_this_gateways_part():
+    async def story():
+        targets = [await Runner(f"p-{n}").start() for n in range(2)]
+        async with EmulatedGateway(cold_table(6.0), [("plain", t) for t in targets]) as gateway:
+            cold = TargetReport(
+                "p-0", "plain", targets[0].address, "here", slots=4, sequence=2, warming=3
+            )
+            gateway.context.board.merge(cold, clock.monotonic())
+            for _ in range(20):
+                assert (await gateway.call())[0] == 200
+            allowed = own_allowance(ColdRule(), 6.0, "p-0", "gateway-1", [], dealt=True)
+            assert 0 < len(targets[0].runs) <= allowed
+
+    run(story())
--- a/tests/passthrough/test_customers_places.py
+++ b/tests/passthrough/test_customers_places.py
@@ -8,7 +8,8 @@
 from traystall.core import clock
 from traystall.passthrough.stages.batching import FreeTarget, PieceJob, take_batch
 from traystall.registry.models import TargetReport
-from traystall.routes.models import BatchProfile, KeyedCustomer
+from traystall.routes.matching import places_of
+from traystall.routes.models import BatchProfile, KeyedCustomer, Route
 
 
 def confined(routing, *places):
@@ -74,3 +75,56 @@
     profile = BatchProfile(batch=1, room_bytes=10)
     assert take_batch([job, job, job], profile, 10, 0.0, FreeTarget("elsewhere")) == []
     assert take_batch([job], profile, 10, 0.0, FreeTarget("here")) == [job]
+
+
+def test_route_and_customer_bind_both():
+    def route(*places):
+        return Route("r", "h", "/", (), data_centres=places)
+
+    def customer(*places):
+        return KeyedCustomer("ana", (), None, places)
+
+    assert places_of(route(), None) == ()
+    assert places_of(route(), customer()) == ()
+    assert places_of(route("a", "b"), None) == ("a", "b")
+    assert places_of(route("a", "b"), customer()) == ("a", "b")
+    assert places_of(route(), customer("b")) == ("b",)
+    assert places_of(route("a", "b"), customer("b", "c")) == ("b",)
+    assert places_of(route("a"), customer("c")) is None
+
+
+async def _play_two_regions(route_places, customer_places):
+    """Play a staged request at a gateway here, with runners of each pool here and elsewhere."""
+    routing = confined(table(stages=STAGES), *customer_places)
+    customers = (msgspec.structs.replace(routing.customers[0], enters_anywhere=True),)
+    routes = tuple(msgspec.structs.replace(r, data_centres=route_places) for r in routing.routes)
+    routing = msgspec.structs.replace(routing, routes=routes, customers=customers)
+    runners = []
+    async with EmulatedGateway(routing, []) as gateway:
+        for pool in ("plain", "engine", "batches"):
+            for place in ("here", "elsewhere"):
+                events = 3 if pool == "engine" else 0
+                runner = await Runner(f"{pool}-{place}", events=events).start()
+                runners.append(runner)
+                gateway.add(pool, runner, place)
+        answers = [await gateway.call(path, **STAGED) for path in ("/once/x", "/staged/x")]
+    for runner in runners:
+        await runner.stop()
+    used = {r.identity.rpartition("-")[2] for r in runners if r.runs or r.calls}
+    return [status for status, _, _ in answers], used
+
+
+@pytest.mark.parametrize(
+    ("route_places", "customer_places", "statuses", "used"),
+    [
+        (("elsewhere",), (), [200, 200], {"elsewhere"}),
+        ((), ("elsewhere",), [200, 200], {"elsewhere"}),
+        (("here", "elsewhere"), ("elsewhere",), [200, 200], {"elsewhere"}),
+        (("here",), ("elsewhere",), [503, 503], set()),
+        (("nowhere",), (), [503, 503], set()),
+    ],
+)
+def test_gateway_that_the_caller_reached_sends_only_to_the_homes(
+    route_places, customer_places, statuses, used
+):
+    assert run(_play_two_regions(route_places, customer_places)) == (statuses, used)
--- a/tests/passthrough/test_whole_path.py
+++ b/tests/passthrough/test_whole_path.py
@@ -24,6 +24,7 @@
     StagePlan,
 )
 from traystall.routes.tables import translate_entities
+from traystall.rpc.gen.wire.ttypes import EvacuateRequest, StatusRequest
 
 HOST = "shop.example"
 KEY = "key-1"
@@ -217,3 +218,41 @@
                 assert "can't be read" in (await response.json())["error"]
 
     play(tmp_path, story)
+
+
+async def order(site, name, evacuated, place="here"):
+    request = EvacuateRequest(data_centre=place, evacuated=evacuated, operator="ana")
+    return await site.group.daemons[name].leader.call(request, 5.0)
+
+
+def test_evacuation_is_in_force_at_every_gateway_also_at_one_that_starts_later(tmp_path):
+    async def story(site):
+        await site.group.apply_entities("a", 1, entities())
+        plain = await site.add("plain")
+        await site.until_all("/plain/x", 200)
+        await order(site, "b", True)
+        await site.until_all("/plain/x", 503)
+        await site._start_gateway(2)
+        await site.until_all("/plain/x", 503)
+        ran = len(plain.runs)
+        assert (await site.call(2, "/plain/x"))[1] == b"evacuated\n"
+        assert len(plain.runs) == ran
+        status = await site.group.daemons["a"].leader.call(StatusRequest(), 2.0)
+        assert {g.evacuation_version for g in status.gateways} == {1}
+        await order(site, "c", False)
+        await site.until_all("/plain/x", 200)
+
+    play(tmp_path, story)
+
+
+def test_evacuation_reaches_gateways_with_the_leader_lost(tmp_path):
+    async def story(site):
+        await site.group.apply_entities("a", 1, entities())
+        await site.add("plain")
+        await site.until_all("/plain/x", 200)
+        leader = next(name for name, d in site.group.daemons.items() if d is site.group.leader())
+        await site.group.stop(leader)
+        await order(site, next(iter(site.group.daemons)), True)
+        await site.until_all("/plain/x", 503)
+
+    play(tmp_path, story)
--- /dev/null
+++ b/tests/platform/test_control_api.py
@@ -0,0 +1,82 @@
+"""The operator's orders to empty a zone and to take that back, over HTTP."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+from traystall_platform.control_api import ControlApi
+
+from traystall.control.evacuation import UNKNOWN_DATA_CENTRE
+from traystall.core.exceptions import RpcRefused, RpcTimeout
+from traystall.http.server import HttpServer
+from traystall.rpc.gen.wire.ttypes import Evacuated, EvacuateReply
+
+
+class Leader:
+    """Take orders, or fail as told."""
+
+    def __init__(self, error=None):
+        self.orders = []
+        self._error = error
+
+    async def call(self, request, timeout):
+        if self._error is not None:
+            raise self._error
+        self.orders.append((request.data_centre, request.evacuated))
+        return EvacuateReply(changed=True, evacuated=Evacuated(version=1, data_centres=["north"]))
+
+
+@contextlib.asynccontextmanager
+async def api(error=None):
+    control = type("Control", (), {})()
+    control.leader = Leader(error)
+    server = HttpServer(ControlApi(control).router().handle)
+    await server.listen("127.0.0.1:0")
+    try:
+        yield control.leader, server.port
+    finally:
+        await server.close(0.1)
+
+
+async def send(port, method, zone="north"):
+    url = f"http://127.0.0.1:{port}/traystall/evacuate/{zone}"
+    async with aiohttp.ClientSession() as session, session.request(method, url) as response:
+        return response.status
+
+
+def test_orders_are_passed_to_the_leader():
+    async def story():
+        async with api() as (leader, port):
+            assert await send(port, "POST") == 200
+            assert await send(port, "DELETE") == 200
+            assert leader.orders == [("north", True), ("north", False)]
+
+    asyncio.run(story())
+
+
+def test_unknown_zone_is_a_404_and_doubt_a_503():
+    async def story():
+        for error, status in (
+            (RpcRefused(UNKNOWN_DATA_CENTRE, "no such"), 404),
+            (RpcRefused("in-doubt", "no majority"), 503),
+            (RpcTimeout("late"), 503),
+        ):
+            async with api(error) as (_, port):
+                assert await send(port, "POST", "nowhere") == status
+
+    asyncio.run(story())
+
+
+def test_order_whose_sender_left_while_the_process_was_frozen_is_dropped():
+    """It was sent to another daemon since, carried out there, and perhaps taken back."""
+
+    async def story():
+        async with api() as (leader, port):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"POST /traystall/evacuate/north HTTP/1.1\r\nHost: c\r\n\r\n")
+            writer.close()
+            await asyncio.sleep(0.1)
+            assert leader.orders == []
+            assert await send(port, "POST") == 200
+
+    asyncio.run(story())
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -103,3 +103,41 @@
     assert node.control_links() == ["10.1.0.44:7740", "10.2.0.27:7740"]
     assert node.number("bounds.grace-s", 8.0) == 8.0
     assert not node.is_true("bootstrap")
+
+
+REGIONS = {"north": ("n-a", "n-b"), "south": ("s-a",)}
+
+
+def translated(**fields):
+    version, entities = documents.check(changed(**fields))
+    return documents.translate(version, entities, regions=REGIONS)
+
+
+def test_allowed_regions_are_the_data_centres_of_routes_and_customers():
+    table = translated(
+        routes=[{**ROUTE, "allowed-regions": ["north"]}],
+        tenants=[{"name": "ana", "api-keys": ["k"], "allowed-regions": ["south", "north"]}],
+    )
+    assert table.routes[0].data_centres == ("n-a", "n-b")
+    assert table.customers[0].data_centres == ("s-a", "n-a", "n-b")
+    assert table.customers[0].may_enter("s-b")
+
+
+def test_region_that_nobody_knows_does_not_mean_anywhere():
+    table = translated(routes=[{**ROUTE, "allowed-regions": ["west"]}])
+    assert table.routes[0].data_centres == ("west",)
+    assert translated().routes[0].data_centres == ()
+
+
+def test_node_file_names_regions_with_their_data_centres():
+    text = "zone=n-a\nzones.n-a=north\nzones.n-b=north\nzones.s-a=south\n"
+    node_file = NodeFile.parse(text)
+    assert node_file.regions() == REGIONS
+    assert node_file.data_centres() == ["n-a", "n-b", "s-a"]
+
+
+def test_cold_targets_are_declared_by_their_service():
+    service = {"name": "llm", "cold-start-s": 3.0, "cold-per-s": 9.1}
+    table = translated(services=[service, DOCUMENT["services"][1]])
+    assert (table.pools[0].cold_seconds, table.pools[0].cold_per_second) == (3.0, 9.1)
+    assert table.pools[1].cold_per_second == 0.0
--- a/tests/support/group_users.py
+++ b/tests/support/group_users.py
@@ -5,10 +5,13 @@
 from traystall.catalog.models import ApplyBundle, ApplyOutcome
 from traystall.core.exceptions import DeltaMismatch
 from traystall.core.serialization import digest
+from traystall.evacuations.held import to_wire
+from traystall.evacuations.models import OrderEvacuation
 from traystall.ledger.models import Claim, ClaimOutcome, LedgerOutcome, Release
 from traystall.rpc.gen.wire.ttypes import WatchReply
 
 KEYS = 3
+PLACES = ("north", "south", "west")
 
 
 class Users:
@@ -81,6 +84,40 @@
         if result.outcome is ApplyOutcome.CONFLICT and self.accepted.get(number) == content:
             raise Breach(f"number {number} was accepted and then refused")
 
+    def _order_evacuation(self):
+        """Operators evacuate and restore, race and resend, at whoever leads."""
+        host = self._any(lambda h: h.runs and h.replica.is_leader)
+        if host is None:
+            return
+        place, evacuated = self.random.choice(PLACES), self.random.random() < 0.5
+        command = OrderEvacuation(place, evacuated, "ana", self.time)
+        host.propose(command, lambda result: self._evacuated(place, evacuated, result))
+
+    def _evacuated(self, place, evacuated, result):
+        """An acknowledged order holds at its version, which names one set of places for ever."""
+        if (place in result.places.data_centres) != evacuated:
+            raise Breach(f"an order for {place} was acknowledged and not carried out")
+        self.note_evacuated(result.places)
+        self.acknowledged = max(self.acknowledged, result.places.version)
+
+    def note_evacuated(self, places):
+        """Record what is evacuated at a version, as seen anywhere."""
+        known = self.evacuated.setdefault(places.version, places.data_centres)
+        if known != places.data_centres:
+            raise Breach(f"evacuations at version {places.version} have two contents")
+
+    def _watch_evacuations(self):
+        """A gateway hears of evacuations from any live host, however far behind."""
+        host = self._any(lambda h: h.runs)
+        if host is None:
+            return
+        held = self.random.choice(self.held_evacuations)
+        before = held.version
+        held.take(to_wire(host.state.evacuations.places))
+        if held.version < before:
+            raise Breach("a gateway stepped back to an earlier evacuation")
+        self.note_evacuated(held.places)
+
     def _watch(self):
         """A gateway reads from any live host, however far behind."""
         host = self._any(lambda h: h.runs)
--- a/traystall/cli/main.py
+++ b/traystall/cli/main.py
@@ -24,8 +24,10 @@
     post_request,
 )
 from traystall.cli.costs import GROUPS, read_costs
+from traystall.cli.evacuations import carry_out
 from traystall.cli.members import Members
 from traystall.cli.output import show
+from traystall.cli.status import status_document
 from traystall.cli.trace import read_line
 from traystall.cli.trace import trace as follow
 from traystall.core import clock
@@ -111,9 +113,17 @@
         show(result, self._output)
 
     def status(self):
-        """Show leader, members, gateways with their revision, laggards and doubtful claims."""
+        """Show leader, members, gateways with their revision, evacuations, laggards, claims."""
         reply = self._call_client(self._read_status)
-        show(_status_document(reply), self._output)
+        show(status_document(reply), self._output)
+
+    def evacuate(self, data_centre, wait=True, operator=None):
+        """Send nothing more to a data centre's targets; with --wait, return once all obey."""
+        self._order_evacuation(data_centre, True, wait, operator)
+
+    def restore(self, data_centre, wait=True, operator=None):
+        """Take an evacuation back; with --wait, return once all gateways obey."""
+        self._order_evacuation(data_centre, False, wait, operator)
 
     def costs(self, by="stage"):
         """Show busy and wasted seconds of targets, by stage, pipeline or customer."""
@@ -172,6 +182,17 @@
         }
         show(document, self._output)
 
+    def _order_evacuation(self, data_centre, evacuated, wait, operator):
+        request = ttypes.EvacuateRequest(
+            data_centre=str(data_centre),
+            evacuated=evacuated,
+            operator=str(operator or getpass.getuser()),
+            token=self._token,
+        )
+        seconds = self._seconds if wait else None
+        result = self._call_client(lambda client: carry_out(client, request, seconds))
+        show(result, self._output)
+
     def _call_client(self, action):
         async def run():
             client = ControlClient(self._controls, self._cluster, self._secret, self._seconds)
@@ -252,40 +273,6 @@
     return counts
 
 
-def _status_document(reply):
-    gateways = reply.gateways or []
-    return {
-        "leader": reply.leader,
-        "term": reply.term,
-        "commit": reply.commit,
-        "lease": reply.lease,
-        "number": reply.number,
-        "digest": (reply.digest or b"").hex(),
-        "members": [
-            {
-                "identity": m.identity,
-                "address": m.address,
-                "data_centre": m.data_centre,
-                "voter": m.voter,
-            }
-            for m in reply.members or ()
-        ],
-        "gateways": [
-            {
-                "instance": g.instance,
-                "data_centre": g.data_centre,
-                "address": g.address,
-                "number": g.number,
-                "state": g.state,
-            }
-            for g in gateways
-        ],
-        "lagging": [g.instance for g in gateways if g.number < reply.number],
-        "claims": reply.claims,
-        "doubtful": list(reply.doubtful or ()),
-    }
-
-
 async def _explain(request, gateways):
     documents = await asyncio.gather(
         *(get_document(f"http://{g.address}/v1/requests/{request}") for g in gateways)
--- a/traystall/control/daemon.py
+++ b/traystall/control/daemon.py
@@ -12,6 +12,7 @@
 from traystall.conf.settings import Settings, load_or_exit
 from traystall.consensus.models import MemberRecord, Timing
 from traystall.consensus.replica import Replica
+from traystall.control.evacuation import EvacuationOrders
 from traystall.control.exceptions import ControlError
 from traystall.control.formation import InitialMember, form_group
 from traystall.control.leader import LeaderCalls
@@ -41,6 +42,7 @@
 
 GROUP = "main"
 ROLE = "control"
+# A number above all that are given: its holder wants none.
 _ANY_NUMBER = 2**62
 # How long answers may take to leave the process at its end, in seconds: chosen.
 _CLOSE_SECONDS = 0.2
@@ -74,6 +76,7 @@
             self.node,
             subscribers,
             self._members,
+            EvacuationOrders(self.node, lambda: self._known_data_centres(subscribers)),
             settings.operator_token,
             NumberRule(settings.number_rule),
         )
@@ -143,17 +146,33 @@
         known = members | set(self.join_addresses)
         return sorted(known - {self._address})
 
+    def _known_data_centres(self, subscribers) -> set[str]:
+        """Return the data centres that an order may name.
+
+        Where the settings don't list them, the own one and those in which members, gateways and
+        targets are seen; one that is already evacuated is known in any case.
+        """
+        if self._settings.data_centres:
+            return set(self._settings.data_centres)
+        known = {self._settings.data_centre}
+        known |= {member.data_centre for member in self.node.replica.members}
+        known |= {record.data_centre for record in subscribers.records()}
+        known |= {row.report.data_centre for row in self.registry.registry.rows()}
+        known |= self.node.state.evacuations.places.data_centres
+        return known - {""}
+
     def _start_registry(self, identity):
         self.registry = RegistryService(
             lambda: [to_wire_member(member) for member in self.node.replica.members],
             lambda: self.node.state.catalog.number,
+            lambda: self.node.state.evacuations.places,
         )
         self.node.on_applied.append(self.registry.on_applied)
         self.service.add_handler(RegistryRequest, self.registry.watch)
         follower = RegistryFollower(self._links, identity, self.control_addresses)
         follower.merge = self._merge_report
-        # Revisions come by the log; only what targets tell is of interest here.
-        follower.number = lambda: _ANY_NUMBER
+        # Revisions and evacuations come by the log; only what targets tell is of interest here.
+        follower.number = follower.evacuation_version = lambda: _ANY_NUMBER
         follower.saw = self.registry.registry.saw
         self._registry_follower = follower
         self._memory = RegistryMemory(self.registry, TargetStore(self._settings.data_folder))
--- /dev/null
+++ b/traystall/control/evacuation.py
@@ -0,0 +1,69 @@
+"""Carry out operators' orders to evacuate a data centre or to restore it."""
+
+import logging
+
+from traystall.control.node import Node
+from traystall.core import clock
+from traystall.core.exceptions import RpcRefused
+from traystall.core.logs import decision
+from traystall.core.serialization import pack
+from traystall.evacuations.held import to_wire
+from traystall.evacuations.models import OrderEvacuation
+from traystall.rpc.gen.wire.ttypes import EvacuateReply, EvacuateRequest, EvacuationRecord
+
+# The code by which an order is refused that names no data centre of the cluster.
+UNKNOWN_DATA_CENTRE = "unknown-data-centre"
+# How long the members may take to confirm an order, in seconds; as for a configuration: chosen.
+_COMMIT_TIMEOUT = 3.0
+
+logger = logging.getLogger(__name__)
+
+
+class EvacuationOrders:
+    """Answer orders at the leader; `known` returns the data centres that an order may name."""
+
+    def __init__(self, node: Node, known):
+        self._node = node
+        self._known = known
+
+    async def order(self, request: EvacuateRequest) -> EvacuateReply:
+        """Return once an order is committed; raise RpcRefused for an unknown data centre.
+
+        An order that is carried out already is committed again, too: only so is it certain
+        that no later order of another operator is overtaken by the answer.
+        """
+        name = request.data_centre or ""
+        if name not in self._known():
+            raise RpcRefused(
+                UNKNOWN_DATA_CENTRE,
+                f"'{name}' is no data centre of this cluster; name one of "
+                f"{', '.join(sorted(self._known())) or 'none that is known yet'}.",
+            )
+        command = OrderEvacuation(
+            data_centre=name,
+            evacuated=bool(request.evacuated),
+            operator=request.operator or "",
+            time=clock.wall(),
+        )
+        result = await self._node.propose(pack(command), _COMMIT_TIMEOUT)
+        decision(
+            "evacuate" if command.evacuated else "restore",
+            of=name,
+            operator=command.operator,
+            changed=result.changed,
+            version=result.places.version,
+        )
+        return EvacuateReply(changed=result.changed, evacuated=to_wire(result.places))
+
+    def records(self) -> list[EvacuationRecord]:
+        """Return the evacuations in force as wire records, for operators to read."""
+        now = clock.wall()
+        return [
+            EvacuationRecord(
+                data_centre=held.data_centre,
+                operator=held.operator,
+                version=held.version,
+                age=max(0.0, now - held.since),
+            )
+            for held in self._node.state.evacuations.listed()
+        ]
--- a/traystall/control/service.py
+++ b/traystall/control/service.py
@@ -5,6 +5,7 @@
 
 from traystall.catalog.deltas import entities_digest, make_delta
 from traystall.catalog.models import ApplyBundle, ApplyOutcome, NumberRule, SupersedeBundle
+from traystall.control.evacuation import EvacuationOrders
 from traystall.control.exceptions import CommitInDoubt, NoLeader
 from traystall.control.members import MemberChanges
 from traystall.control.node import Node
@@ -32,12 +33,14 @@
         node: Node,
         subscribers: Subscribers,
         members: MemberChanges,
+        evacuations: EvacuationOrders,
         operator_token: str,
         rule: NumberRule = NumberRule.EXACT,
     ):
         self._node = node
         self._subscribers = subscribers
         self._members = members
+        self._evacuations = evacuations
         self._operator_token = operator_token
         self._rule = rule
         self._handlers = {
@@ -52,6 +55,7 @@
             ttypes.MembersRequest: self._change_members,
             ttypes.HandoverRequest: self._handover,
             ttypes.ReadRequest: self._read,
+            ttypes.EvacuateRequest: self._evacuate,
         }
 
     def add_handler(self, kind, handler) -> None:
@@ -159,6 +163,8 @@
             lease=replica.holds_lease(clock.monotonic()),
             doubtful=doubtful[:_DOUBTFUL_SHOWN],
             claims=len(self._node.state.ledger),
+            evacuation_version=self._node.state.evacuations.places.version,
+            evacuations=self._evacuations.records(),
         )
 
     # ---- ledger ----
@@ -206,6 +212,12 @@
         outcome = await self._node.propose(pack(command), COMMIT_TIMEOUT)
         return ttypes.ReleaseReply(outcome=outcome.value)
 
+    # ---- evacuations ----
+
+    async def _evacuate(self, request):
+        self._require_operator(request.token)
+        return await self._evacuations.order(request)
+
     # ---- members ----
 
     async def _change_members(self, request):
--- a/traystall/control/settings.py
+++ b/traystall/control/settings.py
@@ -8,6 +8,13 @@
     Setting("cluster", str, "Name of the cluster; links from other clusters are refused."),
     Setting("instance", str, "Name of this instance, unique in the cluster."),
     Setting("data_centre", str, "Data centre of this instance."),
+    Setting(
+        "data_centres",
+        list,
+        "Every data centre of the cluster, comma separated: orders to evacuate may name only "
+        "these. Empty: those in which members, gateways and targets are seen.",
+        "",
+    ),
     Setting("rpc_listen", str, "IP:PORT for links from other traystall processes."),
     Setting("rpc_advertise", str, "IP:PORT told to peers, if it is not rpc_listen.", ""),
     Setting("http_listen", str, "IP:PORT for /metrics, /livez and /readyz."),
@@ -59,6 +66,14 @@
     for name, address in settings.initial_members.items():
         problems += check_address(f"initial_members[{name}]", address)
     problems += check_addresses("join", settings.join)
+    if settings.data_centres and settings.data_centre not in settings.data_centres:
+        problems.append(
+            Problem(
+                "settings.E023",
+                f"data_centres does not list '{settings.data_centre}', where this instance is.",
+                "List every data centre of the cluster in data_centres, or leave it empty.",
+            )
+        )
     if not settings.initial_members and not settings.join:
         problems.append(
             Problem(
--- a/traystall/control/state.py
+++ b/traystall/control/state.py
@@ -1,14 +1,16 @@
-"""The replicated state machine: catalog and ledger behind one log."""
+"""The replicated state machine: catalog, ledger and evacuations behind one log."""
 
 import msgspec
 
 from traystall.catalog.models import ApplyBundle, SupersedeBundle
 from traystall.catalog.state import Catalog
 from traystall.core.serialization import pack, unpack
+from traystall.evacuations.models import OrderEvacuation
+from traystall.evacuations.state import Evacuations
 from traystall.ledger.models import Claim, Release, Settle
 from traystall.ledger.state import Ledger
 
-Command = ApplyBundle | SupersedeBundle | Claim | Settle | Release
+Command = ApplyBundle | SupersedeBundle | Claim | Settle | Release | OrderEvacuation
 
 
 class StateSnapshot(msgspec.Struct, frozen=True):
@@ -16,6 +18,8 @@
 
     catalog: bytes
     ledger: bytes
+    # Snapshots of earlier releases have none.
+    evacuations: bytes = b""
 
 
 class StateMachine:
@@ -24,6 +28,7 @@
     def __init__(self):
         self.catalog = Catalog()
         self.ledger = Ledger()
+        self.evacuations = Evacuations()
 
     def apply(self, data: bytes):
         """Apply one encoded command and return its typed result."""
@@ -36,14 +41,20 @@
             return self.ledger.claim(command)
         if isinstance(command, Settle):
             return self.ledger.settle(command)
-        return self.ledger.release(command)
+        if isinstance(command, Release):
+            return self.ledger.release(command)
+        return self.evacuations.order(command)
 
     def snapshot(self) -> bytes:
         """Return the encoded state."""
-        return pack(StateSnapshot(self.catalog.snapshot(), self.ledger.snapshot()))
+        held = StateSnapshot(
+            self.catalog.snapshot(), self.ledger.snapshot(), self.evacuations.snapshot()
+        )
+        return pack(held)
 
     def restore(self, data: bytes) -> None:
         """Replace the state by an encoded one."""
         held = unpack(data, StateSnapshot)
         self.catalog.restore(held.catalog)
         self.ledger.restore(held.ledger)
+        self.evacuations.restore(held.evacuations)
--- a/traystall/control/subscribers.py
+++ b/traystall/control/subscribers.py
@@ -7,6 +7,7 @@
 from traystall.control.node import Node
 from traystall.core import clock
 from traystall.core.exceptions import RpcError
+from traystall.evacuations.held import to_wire
 from traystall.rpc.client import LinkPool
 from traystall.rpc.gen.wire.ttypes import (
     DigestReply,
@@ -85,6 +86,8 @@
 
     def _has_news(self, request):
         catalog = self._node.state.catalog
+        if (request.gateway.evacuation_version or 0) < self._node.state.evacuations.places.version:
+            return True
         if request.gateway.number == catalog.number:
             return request.digest != catalog.digest
         return request.gateway.number < catalog.number
@@ -100,6 +103,7 @@
             deletes=[],
             directory_version=self.table.version,
             fresh=self._node.is_fresh(),
+            evacuated=to_wire(self._node.state.evacuations.places),
         )
         if request.directory_version != self.table.version:
             reply.directory = self.records()
--- a/traystall/core/metrics.py
+++ b/traystall/core/metrics.py
@@ -13,6 +13,10 @@
 tokens_total = Counter("traystall_tokens_total", "Generated tokens, by customer and pipeline.")
 late_results_total = Counter("traystall_late_results_total", "Stage results that came too late.")
 configuration_number = Gauge("traystall_configuration_number", "Number of the bundle in force.")
+evacuation_version = Gauge("traystall_evacuation_version", "Version of the evacuations obeyed.")
+evacuated_data_centres = Gauge(
+    "traystall_evacuated_data_centres", "Data centres whose targets get no new work."
+)
 consensus_term = Gauge("traystall_consensus_term", "Current term of this replica.")
 consensus_commit = Gauge("traystall_consensus_commit_index", "Committed log index.")
 rpc_bytes_total = Counter("traystall_rpc_bytes_total", "Bytes on links between our processes.")
--- a/traystall/gateway/configuration.py
+++ b/traystall/gateway/configuration.py
@@ -8,6 +8,7 @@
 from traystall.core import clock, metrics
 from traystall.core.exceptions import DeltaMismatch, RpcError
 from traystall.core.logs import decision
+from traystall.evacuations.held import HeldEvacuations, to_wire
 from traystall.rpc.client import LinkPool
 from traystall.rpc.gen.wire.ttypes import GatewayRecord, WatchReply, WatchRequest
 from traystall.rpc.records import to_row
@@ -55,7 +56,11 @@
 
 
 class ConfigurationFollower:
-    """Keep a HeldRevision and the gateway directory up to date."""
+    """Keep a HeldRevision, the evacuations and the gateway directory up to date.
+
+    Routes and evacuations come in one reply, so a gateway that starts never has
+    routes without knowing which data centres are evacuated.
+    """
 
     def __init__(
         self,
@@ -65,6 +70,7 @@
         describe: Callable[[], GatewayRecord],
     ):
         self.held = HeldRevision()
+        self.evacuations = HeldEvacuations()
         self.directory: list[GatewayRow] = []
         self.on_change: list[Callable[[], None]] = []
         self._links = links
@@ -127,6 +133,7 @@
             directory_version=0,
             directory=[],
             fresh=False,
+            evacuated=to_wire(self.evacuations.places),
         )
 
     async def _ask(self, address, timeout):
@@ -143,6 +150,7 @@
 
     def _take(self, reply) -> bool:
         self._take_directory(reply)
+        evacuations_moved = self.evacuations.take(reply.evacuated)
         try:
             moved = self.held.take(reply)
         except DeltaMismatch as error:
@@ -154,6 +162,7 @@
         if moved:
             metrics.configuration_number.set({}, self.held.number)
             decision("configuration", number=self.held.number, full=bool(reply.full))
+        if moved or evacuations_moved:
             self._notify()
         return moved
 
--- a/traystall/gateway/context.py
+++ b/traystall/gateway/context.py
@@ -61,7 +61,7 @@
 
     def on_configuration(self) -> None:
         """Adapt targets, shares and kept results to a new revision or directory."""
-        self.targets.replace(self.tables.targets())
+        self.targets.replace(self._usable_targets())
         self._quick_pools = {
             stage.pool
             for pipeline in self.tables.pipelines()
@@ -82,6 +82,11 @@
         self._deal_shares()
         self.dispatcher.assign_all()
 
+    def _usable_targets(self):
+        """Return the declared targets outside the evacuated data centres."""
+        evacuated = self.follower.evacuations.places.data_centres
+        return [t for t in self.tables.targets() if t.data_centre not in evacuated]
+
     def _may_keep(self, name):
         customer = self.tables.customer(name)
         return customer is not None and is_allowed(customer, self.data_centre)
--- a/traystall/gateway/daemon.py
+++ b/traystall/gateway/daemon.py
@@ -100,6 +100,7 @@
             age=0.0,
             leaving=self._leaving(),
             uptime=0.0,
+            evacuation_version=self._follower.evacuations.version,
         )
 
     def _leaving(self):
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -19,6 +19,7 @@
 from traystall.passthrough.dialect import HeaderNames, PlainStageDialect, StageDialect
 from traystall.passthrough.entry.drain import Drain
 from traystall.passthrough.entry.front import PassFront
+from traystall.passthrough.health.cold import ColdRule
 from traystall.passthrough.health.probing import PlaceProber
 from traystall.passthrough.ownership.owners import LEAVING
 from traystall.passthrough.placement.placing import Placing
@@ -70,7 +71,12 @@
         )
         rule = BudgetRule(settings.repeat_ratio, settings.repeat_window, settings.repeat_slack)
         self.gateway_context = PassContext(
-            settings.data_centre, self._identity, self._names, self._stage_dialect, rule
+            settings.data_centre,
+            self._identity,
+            self._names,
+            self._stage_dialect,
+            rule,
+            ColdRule(settings.cold_excess, settings.cold_slack),
         )
         self._follow()
         self.gateway_context.batcher = Batcher(self.gateway_context, self._links)
@@ -135,6 +141,9 @@
         registry.number = lambda: follower.held.number
         registry.on_number = self._fetch_configuration
         self._fetches: set[asyncio.Task] = set()
+        registry.evacuation_version = lambda: follower.evacuations.version
+        registry.on_evacuated = follower.evacuations.take
+        follower.evacuations.on_change.append(self.gateway_context.on_evacuations)
         self.gateway_context.follower = follower
         self.gateway_context.registry = registry
 
@@ -174,6 +183,7 @@
             age=0.0,
             leaving=[],
             uptime=clock.monotonic() - self._started_at,
+            evacuation_version=self.gateway_context.follower.evacuations.version,
         )
 
     async def _answer_peer(self, request):
--- a/traystall/passthrough/entry/front.py
+++ b/traystall/passthrough/entry/front.py
@@ -14,7 +14,7 @@
 from traystall.passthrough.entry.request import PassRequest
 from traystall.passthrough.exceptions import Refusal
 from traystall.passthrough.exchange.runner import PassRunner
-from traystall.routes.matching import choose_pool
+from traystall.routes.matching import choose_pool, places_of
 
 NOT_READY_RETRY_AFTER = 0.5
 # A gateway that has just started lets requests wait this long, in seconds, for the routes.
@@ -79,10 +79,15 @@
         if route is None:
             raise Refusal(404, "no-route", "No route has this host and path.")
         customer = self._customer(request, route)
-        if customer is not None and not customer.allows(self._context.data_centre):
+        if customer is not None and not customer.may_enter(self._context.data_centre):
             raise Refusal(
                 421, "outside", "This gateway is outside the customer's data centres.", None
             )
+        places = places_of(route, customer)
+        if places is None:
+            raise Refusal(
+                503, "no-place", "Route and customer have no data centre in common.", None
+            )
         caller = await self._read(request)
         passed = PassRequest(
             caller,
@@ -91,6 +96,7 @@
             customer,
             self._context.names,
             started,
+            places,
         )
         self._running.add(passed)
         try:
--- a/traystall/passthrough/entry/request.py
+++ b/traystall/passthrough/entry/request.py
@@ -28,6 +28,7 @@
         customer: KeyedCustomer | None,
         names: HeaderNames,
         started: float,
+        places: tuple[str, ...] = (),
     ):
         self.caller = caller
         self.route = route
@@ -35,6 +36,8 @@
         self.customer = customer
         self.names = names
         self.started = started
+        # The data centres in which it may run; none means anywhere.
+        self.places = places
         self.request_id = caller.get(names.request_id) or ""
         self.writer = RequestWriter(caller, names)
         self.deadline = started + self._seconds()
@@ -68,11 +71,6 @@
         self.longest_pause = 0.0
         self.events = 0
 
-    @property
-    def places(self) -> tuple[str, ...]:
-        """Return the data centres in which the request may be; none means anywhere."""
-        return self.customer.data_centres if self.customer is not None else ()
-
     @property
     def priority(self) -> int:
         """Return the rank of the request, 0 first: the customer's goes before the route's."""
--- a/traystall/passthrough/exchange/runner.py
+++ b/traystall/passthrough/exchange/runner.py
@@ -49,6 +49,8 @@
 _LEAST_PAUSE = 0.6
 _PAUSE_FACTOR = 4.0
 _RETRY_AFTER = (0.2, 0.6)
+# An operator restores a data centre no sooner than this, in seconds: chosen.
+PLACE_RETRY_AFTER = 2.0
 
 
 class PassRunner:
@@ -79,6 +81,7 @@
 
     async def _run_chains(self, passed, sink):
         """Run the stages and the request; once more from the start if results were lost."""
+        self._refuse_without_place(passed)
         for left in reversed(range(_MAX_CHAINS)):
             chain = StageChain(self._context, passed)
             try:
@@ -92,6 +95,15 @@
                 chain.free()
         raise AssertionError("The last chain returns or raises.")
 
+    def _refuse_without_place(self, passed):
+        """Refuse at once what no target may take before an operator changes that."""
+        stages = zip(passed.route.stages, passed.piece_counts, strict=True)
+        for pool in {passed.pool, *(stage.pool for stage, count in stages if count)}:
+            if self._context.lacks_place(pool, passed.places):
+                code = "evacuated" if self._context.board.evacuated else "no-place"
+                detail = f"No data centre that the request may use has targets of '{pool}'."
+                raise self._refusal(passed, code, detail, PLACE_RETRY_AFTER)
+
     def _may_run_stages_again(self, passed) -> bool:
         """Take what the pools of the stages allow to be asked again."""
         pools = {
@@ -175,9 +187,12 @@
         pool = context.index.pools.get(passed.pool)
         if pool is not None and pool.engine is not None:
             return await context.placing.choose(passed, book)
-        found = context.usable(passed.pool, passed.places)
+        found = [v for v in context.usable(passed.pool, passed.places) if context.may_warm(v)]
         mean = context.board.mean_seconds(passed.pool)
-        return choice.choose_target(found, passed.tried, context.data_centre, mean, context.random)
+        view = choice.choose_target(found, passed.tried, context.data_centre, mean, context.random)
+        if view is not None:
+            context.note_sent(view)
+        return view
 
     async def _attempt(self, passed, view, sink, chain) -> Response | Failure | None:
         passed.tried.add(view.identity)
--- a/traystall/passthrough/health/board.py
+++ b/traystall/passthrough/health/board.py
@@ -1,6 +1,10 @@
-"""Targets as one gateway sees them: what they report, what it has running there, how they do."""
+"""Targets as one gateway sees them: what they report, what it has running there, how they do.
+
+Where an operator has evacuated a data centre, its targets are known but not usable.
+"""
 
 from collections import Counter
+from collections.abc import Callable
 
 import msgspec
 
@@ -36,6 +40,8 @@
     is_misplaced: bool = False
     # How long it takes beside the others of its pool.
     ratio: float = 1.0
+    # Until when it counts as cold: it gets little then.
+    cold_until: float = float("-inf")
 
     @property
     def identity(self) -> str:
@@ -76,6 +82,8 @@
         self._max_connections = max_connections
         self._views: dict[str, TargetView] = {}
         self._pools: dict[str, list[TargetView]] = {}
+        # Data centres whose targets get no new work.
+        self.evacuated: frozenset[str] = frozenset()
         self.on_change: list = []
         # Grows whenever a target comes, goes or changes.
         self.generation = 0
@@ -91,9 +99,10 @@
         elif view is None:
             limit = self._max_connections
             pool = ConnectionPool(row.report.address, lambda: limit(row.report.pool))
-            self._views[report.identity] = TargetView(row.report, pool)
+            self._views[report.identity] = TargetView(row.report, pool, cold_until=row.cold_until)
         else:
             view.report = row.report
+            view.cold_until = row.cold_until
         self._index()
 
     def saw(self, identity: str, seen_at: float) -> None:
@@ -104,31 +113,57 @@
         """Return one target, or None."""
         return self._views.get(identity)
 
+    def identities(self) -> set[str]:
+        """Return the names of all targets that are known."""
+        return set(self._views)
+
     def at_address(self, address: str) -> TargetView | None:
         """Return the newest target known at IP:PORT, or None."""
         found = [view for view in self._views.values() if view.report.address == address]
         return max(found, key=lambda view: self._seen_at(view), default=None)
 
+    def set_evacuated(self, data_centres: frozenset[str]) -> None:
+        """Use the targets of these data centres no more, and those of all others again."""
+        self.evacuated = data_centres
+        self._index()
+
+    def expect_cold(self, data_centre: str, cold_seconds: Callable[[str], float], now: float):
+        """Take the targets of a data centre for cold until they tell otherwise.
+
+        They rested: what they say themselves may come after the first work for them.
+        `cold_seconds(pool)` is how long targets of a pool stay cold.
+        """
+        for view in self._views.values():
+            if view.report.data_centre == data_centre:
+                until = now + cold_seconds(view.report.pool)
+                view.cold_until = max(view.cold_until, until)
+
     def pool(self, name: str) -> list[TargetView]:
         """Return the targets of a pool that have not said that they leave."""
         return self._pools.get(name, [])
 
     def data_centres(self, name: str) -> Counter[str]:
-        """Return how many targets of a pool each data centre has."""
-        return Counter(view.report.data_centre for view in self.pool(name))
+        """Return how many targets of a pool each data centre has that is not evacuated."""
+        return Counter(view.report.data_centre for view in self.inside(name))
+
+    def inside(self, name: str, places: tuple[str, ...] = ()) -> list[TargetView]:
+        """Return the targets of a pool in `places` (none: anywhere) that are not evacuated."""
+        return [
+            view
+            for view in self.pool(name)
+            if view.report.data_centre not in self.evacuated
+            and (not places or view.report.data_centre in places)
+        ]
 
     def usable(
         self, name: str, now: float, registry_heard_at: float, places: tuple[str, ...] = ()
     ) -> list[TargetView]:
         """Return the targets of a pool to which work may go now, doubtful ones only if all are.
 
-        Where data centres are named, targets outside them are left out first.
+        Where data centres are named, targets outside them are left out first, and
+        those of evacuated ones always: no doubt about the others brings them back.
         """
-        ready = [
-            view
-            for view in self.pool(name)
-            if not view.is_misplaced and (not places or view.report.data_centre in places)
-        ]
+        ready = [view for view in self.inside(name, places) if not view.is_misplaced]
         sound = [view for view in ready if now >= view.avoid_until]
         near = [view for view in sound if not self.places.is_out(view.report.data_centre, now)]
         heard = [view for view in near if not self._is_silent(view, registry_heard_at)]
--- a/traystall/passthrough/placement/placing.py
+++ b/traystall/passthrough/placement/placing.py
@@ -62,11 +62,15 @@
                 passed.placed_at = owner.rpc_address
                 return view
         passed.placed_at = ""
-        reply = self.place_here(request)
+        reply = self._place(request, for_all=owner is None)
         return self._context.board.view(reply.identity) if reply.identity else None
 
     def place_here(self, request: PlaceRequest) -> PlaceReply:
-        """Place a prompt by what this gateway knows."""
+        """Place a prompt for another gateway."""
+        return self._place(request, for_all=True)
+
+    def _place(self, request, *, for_all) -> PlaceReply:
+        """Place a prompt by what this gateway knows; `for_all` if it places for all gateways."""
         now = clock.monotonic()
         placer = self._placer(request.pool, now)
         placement = Placement(
@@ -80,9 +84,12 @@
             request.input_bytes or 0,
         )
         places = tuple(request.places or ())
-        choices = self._choices(request.pool, set(request.excluded or ()), places)
+        choices = self._choices(request.pool, set(request.excluded or ()), places, for_all)
         if request.book:
-            return PlaceReply(identity=placer.place(placement, choices, now))
+            identity = placer.place(placement, choices, now)
+            if identity:
+                self._context.note_sent(self._context.board.view(identity))
+            return PlaceReply(identity=identity)
         return PlaceReply(identity=placer.likely(placement, choices, now))
 
     def started(self, passed: PassRequest) -> None:
@@ -116,8 +123,9 @@
             return None
         self._late = 0
         view = self._context.board.view(reply.identity or "")
-        usable = view is not None and view.connections.has_room() and not view.is_misplaced
-        if not usable or clock.monotonic() < view.avoid_until:
+        if view is None or view.is_misplaced or self._context.is_evacuated(view):
+            return None
+        if not view.connections.has_room() or clock.monotonic() < view.avoid_until:
             return None
         return view
 
@@ -153,13 +161,16 @@
             for name, held in self._placers.items():
                 views = self._context.board.pool(name)
                 held.retain({view.identity for view in views}, now)
+            self._context.retain_cold()
         return placer
 
-    def _choices(self, pool, excluded, places) -> list[EngineChoice]:
+    def _choices(self, pool, excluded, places, for_all) -> list[EngineChoice]:
         found = self._context.index.pools.get(pool)
         memory = found.engine.memory_tokens if found and found.engine else 0
         return [
             EngineChoice(view.identity, view.report.data_centre, memory, view.ratio)
             for view in self._context.usable(pool, places)
-            if view.identity not in excluded and view.connections.has_room()
+            if view.identity not in excluded
+            and view.connections.has_room()
+            and self._context.may_warm(view, for_all=for_all)
         ]
--- a/traystall/passthrough/settings.py
+++ b/traystall/passthrough/settings.py
@@ -15,6 +15,10 @@
     Setting("repeat_ratio", float, "Repeats that are allowed, as a part of the requests.", "0.2"),
     Setting("repeat_window", float, "Seconds over which repeats are counted.", "10"),
     Setting("repeat_slack", float, "Repeats that are allowed besides, by all gateways.", "20"),
+    Setting(
+        "cold_excess", float, "Requests a cold target may get, as a part of what it bears.", "1.0"
+    ),
+    Setting("cold_slack", float, "Requests a second a cold target may get besides.", "0"),
     Setting("drain_notice", float, "Seconds to go on accepting after a stop is asked for.", "3"),
     Setting("drain_limit", float, "Seconds for what is in flight to finish.", "30"),
     Setting("log_level", str, "Lowest level that is logged.", "info"),
@@ -32,6 +36,6 @@
         problems.append(
             Problem("settings.E030", "control is empty.", "Name at least one control daemon.")
         )
-    for name in ("repeat_window", "drain_limit"):
+    for name in ("repeat_window", "drain_limit", "cold_excess"):
         problems += check_positive(name, getattr(settings, name))
     return problems
--- a/traystall/passthrough/stages/piece_queue.py
+++ b/traystall/passthrough/stages/piece_queue.py
@@ -173,6 +173,7 @@
             for view, worker in known
             if worker.calls < profile.slots
             and now >= max(view.avoid_until, worker.wait_until)
+            and self._context.may_warm(view, for_all=True)
             and worker.is_worth_calling(profile, len(self._waiting), sound, now)
         ]
         return sorted(free, key=lambda pair: (pair[1].ratio, pair[0].identity))
@@ -187,6 +188,7 @@
         size = sum(job.result_bytes for job in batch)
         # Counted here, not in the task: until that runs the target would look free.
         worker.began(now, size, profile.seconds(len(batch)))
+        self._context.note_sent(view)
         self._spawn(self._call(view, worker, batch, profile, size))
 
     def _keep_together(self, batch, data_centre):
--- a/traystall/registry/follower.py
+++ b/traystall/registry/follower.py
@@ -30,7 +30,9 @@
     `addresses` returns whom to watch now; `merge(report, seen_at)` and
     `saw(identity, seen_at)` take in what is told; `on_members(members)` gets the
     control daemons that a registry knows of. `number` returns the revision held
-    here, `on_number(number, address)` gets a higher one and who has it.
+    here, `on_number(number, address)` gets a higher one and who has it;
+    `evacuation_version` returns the version of the evacuations held here,
+    `on_evacuated(told)` gets what each registry tells of them.
     """
 
     def __init__(self, links: LinkPool, sender: str, addresses: Callable[[], list[str]]):
@@ -39,6 +41,8 @@
         self.on_members: Callable = lambda members: None
         self.number: Callable[[], int] = lambda: 0
         self.on_number: Callable = lambda number, address: None
+        self.evacuation_version: Callable[[], int] = lambda: 0
+        self.on_evacuated: Callable = lambda told: None
         self.heard_at: dict[str, float] = {}
         self._links = links
         self._sender = sender
@@ -70,6 +74,7 @@
         request = RegistryRequest(sender=self._sender, epoch="", version=0)
         while True:
             request.number = self.number()
+            request.evacuation_version = self.evacuation_version()
             try:
                 reply = await self._links.link(address).call(request, _WATCH_TIMEOUT)
             except RpcError as error:
@@ -92,3 +97,4 @@
         for identity, age in (reply.ages or {}).items():
             self.saw(identity, now - age)
         self.on_members(reply.members or [])
+        self.on_evacuated(reply.evacuated)
--- a/traystall/registry/models.py
+++ b/traystall/registry/models.py
@@ -19,7 +19,8 @@
 class TargetReport(msgspec.Struct, frozen=True):
     """Hold one report of a target about itself.
 
-    `identity` names one life of the target; `sequence` grows with every report of it.
+    `identity` names one life of the target; `sequence` grows with every report of it;
+    `warming` is how long it stays cold, in seconds.
     """
 
     identity: str
@@ -37,12 +38,13 @@
     """Hold what is known of one life of a target.
 
     `seen_at` is when it last reported, by way of any control daemon; `changed`
-    is the version of the table that last changed this row.
+    is the version of the table that last changed this row. It is cold until `cold_until`.
     """
 
     report: TargetReport
     seen_at: float
     changed: int = 0
+    cold_until: float = float("-inf")
 
     @property
     def identity(self) -> str:
--- a/traystall/registry/records.py
+++ b/traystall/registry/records.py
@@ -16,7 +16,7 @@
         slots=report.slots,
         state=report.state.value,
         sequence=report.sequence,
-        warming=report.warming,
+        warming=max(0.0, row.cold_until - row.seen_at),
         age=max(0.0, now - row.seen_at),
     )
 
--- a/traystall/registry/service.py
+++ b/traystall/registry/service.py
@@ -5,6 +5,8 @@
 
 from traystall.core import clock
 from traystall.core.ids import new_id
+from traystall.evacuations.held import to_wire
+from traystall.evacuations.models import EvacuatedPlaces
 from traystall.registry.models import TargetReport
 from traystall.registry.records import to_record
 from traystall.registry.table import Registry
@@ -20,15 +22,17 @@
 
     `members` returns the control daemons as wire records, so that a watcher
     learns whom it can ask besides; `number` returns the newest revision of the
-    configuration, so that it learns of a new one from whichever daemon has it.
+    configuration, so that it learns of a new one from whichever daemon has it;
+    `evacuated` returns the evacuated data centres, which each reply tells whole.
     """
 
-    def __init__(self, members, number=lambda: 0):
+    def __init__(self, members, number=lambda: 0, evacuated=EvacuatedPlaces):
         self.registry = Registry()
         self.epoch = new_id()
         self._members = members
         self._number = number
-        self._number_told = number()
+        self._evacuated = evacuated
+        self._told = (number(), evacuated().version)
         self._changed = asyncio.Event()
         self._forget_due = clock.monotonic() + _FORGET_EVERY
 
@@ -46,7 +50,7 @@
         """Return what is new since the watcher's version, waiting a while if nothing is."""
         known = request.version if request.epoch == self.epoch else 0
         deadline = clock.monotonic() + WATCH_HOLD
-        while known >= self.registry.version and (request.number or 0) >= self._number():
+        while known >= self.registry.version and self._is_up_to_date(request):
             left = deadline - clock.monotonic()
             if left <= 0:
                 break
@@ -54,9 +58,10 @@
         return self._reply(known)
 
     def on_applied(self) -> None:
-        """Wake the watchers if there is a new revision of the configuration."""
-        if self._number() != self._number_told:
-            self._number_told = self._number()
+        """Wake the watchers if there is a new revision or a new evacuation."""
+        held = (self._number(), self._evacuated().version)
+        if held != self._told:
+            self._told = held
             self.wake()
 
     def wake(self) -> None:
@@ -64,6 +69,11 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
+    def _is_up_to_date(self, request):
+        if (request.number or 0) < self._number():
+            return False
+        return (request.evacuation_version or 0) >= self._evacuated().version
+
     def _reply(self, known):
         now = clock.monotonic()
         if now >= self._forget_due:
@@ -78,6 +88,7 @@
             ages=ages,
             members=members,
             number=self._number(),
+            evacuated=to_wire(self._evacuated()),
         )
 
     async def _wait(self, seconds):
--- a/traystall/registry/table.py
+++ b/traystall/registry/table.py
@@ -16,6 +16,8 @@
 
 # Targets that are gone are remembered this long, in seconds, so that a late report is known.
 GONE_SECONDS = 600.0
+# A target that stays cold for so much longer than was known, in seconds, is news to all.
+_COLD_NEWS_SECONDS = 0.5
 # A target that has been silent this long is taken off the list of what can be asked.
 SILENT_SECONDS = 120.0
 
@@ -39,12 +41,17 @@
         """Take in a report; return whether it changed what others must learn."""
         row = self._rows.get(report.identity)
         if row is None:
-            self._rows[report.identity] = RegisteredTarget(report, seen_at)
+            row = RegisteredTarget(report, seen_at, cold_until=seen_at + report.warming)
+            self._rows[report.identity] = row
             self._mark(report.identity)
             return True
         row.seen_at = max(row.seen_at, seen_at)
         merged = _merge_reports(row.report, report)
         changed = _public(merged) != _public(row.report)
+        if report.sequence > row.report.sequence:
+            cold_until = seen_at + report.warming
+            changed |= report.warming > 0 and cold_until - row.cold_until > _COLD_NEWS_SECONDS
+            row.cold_until = cold_until
         row.report = merged
         if changed:
             self._mark(report.identity)
--- a/traystall/routes/matching.py
+++ b/traystall/routes/matching.py
@@ -55,6 +55,18 @@
         return self._holders.get(key)
 
 
+def places_of(route: Route, customer: KeyedCustomer | None) -> tuple[str, ...] | None:
+    """Return the data centres in which a request may run; none means anywhere.
+
+    Where both the route and the customer name some, both bind; None says that they have none
+    in common, so that the request may run nowhere.
+    """
+    own = customer.data_centres if customer is not None else ()
+    if not own or not route.data_centres:
+        return own or route.data_centres
+    return tuple(name for name in route.data_centres if name in own) or None
+
+
 def choose_pool(route: Route, random) -> str:
     """Return the pool of one request, by the route's weights."""
     if len(route.splits) == 1:
--- a/traystall/rpc/gen/wire/ttypes.py
+++ b/traystall/rpc/gen/wire/ttypes.py
@@ -47,6 +47,7 @@
     STAGE_FREED = 29
     PLACE = 30
     PLACE_NOTE = 31
+    EVACUATE = 32
 
     _VALUES_TO_NAMES = {
         1: "HELLO",
@@ -79,6 +80,7 @@
         29: "STAGE_FREED",
         30: "PLACE",
         31: "PLACE_NOTE",
+        32: "EVACUATE",
     }
 
     _NAMES_TO_VALUES = {
@@ -112,6 +114,7 @@
         "STAGE_FREED": 29,
         "PLACE": 30,
         "PLACE_NOTE": 31,
+        "EVACUATE": 32,
     }
 
 
@@ -2592,6 +2595,7 @@
      - age
      - leaving
      - uptime
+     - evacuation_version
 
     """
 
@@ -2606,10 +2610,11 @@
         'age',
         'leaving',
         'uptime',
+        'evacuation_version',
     )
 
 
-    def __init__(self, identity=None, instance=None, data_centre=None, address=None, rpc_address=None, number=None, state=None, age=None, leaving=None, uptime=None,):
+    def __init__(self, identity=None, instance=None, data_centre=None, address=None, rpc_address=None, number=None, state=None, age=None, leaving=None, uptime=None, evacuation_version=None,):
         self.identity = identity
         self.instance = instance
         self.data_centre = data_centre
@@ -2620,6 +2625,7 @@
         self.age = age
         self.leaving = leaving
         self.uptime = uptime
+        self.evacuation_version = evacuation_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2685,6 +2691,11 @@
                     self.uptime = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.evacuation_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2738,6 +2749,10 @@
             oprot.writeFieldBegin('uptime', TType.DOUBLE, 10)
             oprot.writeDouble(self.uptime)
             oprot.writeFieldEnd()
+        if self.evacuation_version is not None:
+            oprot.writeFieldBegin('evacuation_version', TType.I64, 11)
+            oprot.writeI64(self.evacuation_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2856,6 +2871,94 @@
         return not (self == other)
 
 
+class Evacuated(object):
+    """
+    Attributes:
+     - version
+     - data_centres
+
+    """
+
+    __slots__ = (
+        'version',
+        'data_centres',
+    )
+
+
+    def __init__(self, version=None, data_centres=None,):
+        self.version = version
+        self.data_centres = data_centres
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.data_centres = []
+                    (_etype49, _size46) = iprot.readListBegin()
+                    for _i50 in range(_size46):
+                        _elem51 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.data_centres.append(_elem51)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Evacuated')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.data_centres is not None:
+            oprot.writeFieldBegin('data_centres', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.data_centres))
+            for iter52 in self.data_centres:
+                oprot.writeString(iter52.encode('utf-8') if sys.version_info[0] == 2 else iter52)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class WatchReply(object):
     """
     Attributes:
@@ -2868,6 +2971,7 @@
      - directory_version
      - directory
      - fresh
+     - evacuated
 
     """
 
@@ -2881,10 +2985,11 @@
         'directory_version',
         'directory',
         'fresh',
+        'evacuated',
     )
 
 
-    def __init__(self, number=None, digest=None, full=None, base=None, puts=None, deletes=None, directory_version=None, directory=None, fresh=None,):
+    def __init__(self, number=None, digest=None, full=None, base=None, puts=None, deletes=None, directory_version=None, directory=None, fresh=None, evacuated=None,):
         self.number = number
         self.digest = digest
         self.full = full
@@ -2894,6 +2999,7 @@
         self.directory_version = directory_version
         self.directory = directory
         self.fresh = fresh
+        self.evacuated = evacuated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2927,21 +3033,21 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.puts = {}
-                    (_ktype47, _vtype48, _size46) = iprot.readMapBegin()
-                    for _i50 in range(_size46):
-                        _key51 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val52 = iprot.readBinary()
-                        self.puts[_key51] = _val52
+                    (_ktype54, _vtype55, _size53) = iprot.readMapBegin()
+                    for _i57 in range(_size53):
+                        _key58 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val59 = iprot.readBinary()
+                        self.puts[_key58] = _val59
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.deletes = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.deletes.append(_elem58)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.deletes.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2953,11 +3059,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.directory = []
-                    (_etype62, _size59) = iprot.readListBegin()
-                    for _i63 in range(_size59):
-                        _elem64 = GatewayRecord()
-                        _elem64.read(iprot)
-                        self.directory.append(_elem64)
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = GatewayRecord()
+                        _elem71.read(iprot)
+                        self.directory.append(_elem71)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2966,6 +3072,12 @@
                     self.fresh = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.evacuated = Evacuated()
+                    self.evacuated.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2995,16 +3107,16 @@
         if self.puts is not None:
             oprot.writeFieldBegin('puts', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.puts))
-            for kiter65, viter66 in self.puts.items():
-                oprot.writeString(kiter65.encode('utf-8') if sys.version_info[0] == 2 else kiter65)
-                oprot.writeBinary(viter66)
+            for kiter72, viter73 in self.puts.items():
+                oprot.writeString(kiter72.encode('utf-8') if sys.version_info[0] == 2 else kiter72)
+                oprot.writeBinary(viter73)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.deletes is not None:
             oprot.writeFieldBegin('deletes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.deletes))
-            for iter67 in self.deletes:
-                oprot.writeString(iter67.encode('utf-8') if sys.version_info[0] == 2 else iter67)
+            for iter74 in self.deletes:
+                oprot.writeString(iter74.encode('utf-8') if sys.version_info[0] == 2 else iter74)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.directory_version is not None:
@@ -3014,14 +3126,18 @@
         if self.directory is not None:
             oprot.writeFieldBegin('directory', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.directory))
-            for iter68 in self.directory:
-                iter68.write(oprot)
+            for iter75 in self.directory:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.fresh is not None:
             oprot.writeFieldBegin('fresh', TType.BOOL, 9)
             oprot.writeBool(self.fresh)
             oprot.writeFieldEnd()
+        if self.evacuated is not None:
+            oprot.writeFieldBegin('evacuated', TType.STRUCT, 10)
+            self.evacuated.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3082,11 +3198,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gateways = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = GatewayRecord()
-                        _elem74.read(iprot)
-                        self.gateways.append(_elem74)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = GatewayRecord()
+                        _elem81.read(iprot)
+                        self.gateways.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3107,8 +3223,8 @@
         if self.gateways is not None:
             oprot.writeFieldBegin('gateways', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gateways))
-            for iter75 in self.gateways:
-                iter75.write(oprot)
+            for iter82 in self.gateways:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3163,11 +3279,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.gateways = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = GatewayRecord()
-                        _elem81.read(iprot)
-                        self.gateways.append(_elem81)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = GatewayRecord()
+                        _elem88.read(iprot)
+                        self.gateways.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3184,8 +3300,8 @@
         if self.gateways is not None:
             oprot.writeFieldBegin('gateways', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.gateways))
-            for iter82 in self.gateways:
-                iter82.write(oprot)
+            for iter89 in self.gateways:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3213,6 +3329,110 @@
         return not (self == other)
 
 
+class EvacuationRecord(object):
+    """
+    Attributes:
+     - data_centre
+     - operator
+     - version
+     - age
+
+    """
+
+    __slots__ = (
+        'data_centre',
+        'operator',
+        'version',
+        'age',
+    )
+
+
+    def __init__(self, data_centre=None, operator=None, version=None, age=None,):
+        self.data_centre = data_centre
+        self.operator = operator
+        self.version = version
+        self.age = age
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.operator = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EvacuationRecord')
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 1)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.operator is not None:
+            oprot.writeFieldBegin('operator', TType.STRING, 2)
+            oprot.writeString(self.operator.encode('utf-8') if sys.version_info[0] == 2 else self.operator)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 3)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 4)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class StatusRequest(object):
     """
     Attributes:
@@ -3295,6 +3515,8 @@
      - lease
      - doubtful
      - claims
+     - evacuation_version
+     - evacuations
 
     """
 
@@ -3310,10 +3532,12 @@
         'lease',
         'doubtful',
         'claims',
+        'evacuation_version',
+        'evacuations',
     )
 
 
-    def __init__(self, identity=None, leader=None, term=None, commit=None, number=None, digest=None, gateways=None, members=None, lease=None, doubtful=None, claims=None,):
+    def __init__(self, identity=None, leader=None, term=None, commit=None, number=None, digest=None, gateways=None, members=None, lease=None, doubtful=None, claims=None, evacuation_version=None, evacuations=None,):
         self.identity = identity
         self.leader = leader
         self.term = term
@@ -3325,6 +3549,8 @@
         self.lease = lease
         self.doubtful = doubtful
         self.claims = claims
+        self.evacuation_version = evacuation_version
+        self.evacuations = evacuations
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3368,22 +3594,22 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.gateways = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = GatewayRecord()
-                        _elem88.read(iprot)
-                        self.gateways.append(_elem88)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = GatewayRecord()
+                        _elem95.read(iprot)
+                        self.gateways.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = Member()
-                        _elem94.read(iprot)
-                        self.members.append(_elem94)
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = Member()
+                        _elem101.read(iprot)
+                        self.members.append(_elem101)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3395,10 +3621,10 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.doubtful = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.doubtful.append(_elem100)
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.doubtful.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3407,6 +3633,22 @@
                     self.claims = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.evacuation_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.evacuations = []
+                    (_etype111, _size108) = iprot.readListBegin()
+                    for _i112 in range(_size108):
+                        _elem113 = EvacuationRecord()
+                        _elem113.read(iprot)
+                        self.evacuations.append(_elem113)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3444,15 +3686,15 @@
         if self.gateways is not None:
             oprot.writeFieldBegin('gateways', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.gateways))
-            for iter101 in self.gateways:
-                iter101.write(oprot)
+            for iter114 in self.gateways:
+                iter114.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter102 in self.members:
-                iter102.write(oprot)
+            for iter115 in self.members:
+                iter115.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lease is not None:
@@ -3462,14 +3704,210 @@
         if self.doubtful is not None:
             oprot.writeFieldBegin('doubtful', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.doubtful))
-            for iter103 in self.doubtful:
-                oprot.writeString(iter103.encode('utf-8') if sys.version_info[0] == 2 else iter103)
+            for iter116 in self.doubtful:
+                oprot.writeString(iter116.encode('utf-8') if sys.version_info[0] == 2 else iter116)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.I64, 11)
             oprot.writeI64(self.claims)
             oprot.writeFieldEnd()
+        if self.evacuation_version is not None:
+            oprot.writeFieldBegin('evacuation_version', TType.I64, 12)
+            oprot.writeI64(self.evacuation_version)
+            oprot.writeFieldEnd()
+        if self.evacuations is not None:
+            oprot.writeFieldBegin('evacuations', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.evacuations))
+            for iter117 in self.evacuations:
+                iter117.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EvacuateRequest(object):
+    """
+    Attributes:
+     - data_centre
+     - evacuated
+     - operator
+     - token
+
+    """
+
+    __slots__ = (
+        'data_centre',
+        'evacuated',
+        'operator',
+        'token',
+    )
+
+
+    def __init__(self, data_centre=None, evacuated=None, operator=None, token=None,):
+        self.data_centre = data_centre
+        self.evacuated = evacuated
+        self.operator = operator
+        self.token = token
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.evacuated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.operator = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.token = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EvacuateRequest')
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 1)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.evacuated is not None:
+            oprot.writeFieldBegin('evacuated', TType.BOOL, 2)
+            oprot.writeBool(self.evacuated)
+            oprot.writeFieldEnd()
+        if self.operator is not None:
+            oprot.writeFieldBegin('operator', TType.STRING, 3)
+            oprot.writeString(self.operator.encode('utf-8') if sys.version_info[0] == 2 else self.operator)
+            oprot.writeFieldEnd()
+        if self.token is not None:
+            oprot.writeFieldBegin('token', TType.STRING, 4)
+            oprot.writeString(self.token.encode('utf-8') if sys.version_info[0] == 2 else self.token)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EvacuateReply(object):
+    """
+    Attributes:
+     - changed
+     - evacuated
+
+    """
+
+    __slots__ = (
+        'changed',
+        'evacuated',
+    )
+
+
+    def __init__(self, changed=None, evacuated=None,):
+        self.changed = changed
+        self.evacuated = evacuated
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.changed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.evacuated = Evacuated()
+                    self.evacuated.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EvacuateReply')
+        if self.changed is not None:
+            oprot.writeFieldBegin('changed', TType.BOOL, 1)
+            oprot.writeBool(self.changed)
+            oprot.writeFieldEnd()
+        if self.evacuated is not None:
+            oprot.writeFieldBegin('evacuated', TType.STRUCT, 2)
+            self.evacuated.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3702,10 +4140,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.holders = []
-                    (_etype107, _size104) = iprot.readListBegin()
-                    for _i108 in range(_size104):
-                        _elem109 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.holders.append(_elem109)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.holders.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3742,8 +4180,8 @@
         if self.holders is not None:
             oprot.writeFieldBegin('holders', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.holders))
-            for iter110 in self.holders:
-                oprot.writeString(iter110.encode('utf-8') if sys.version_info[0] == 2 else iter110)
+            for iter124 in self.holders:
+                oprot.writeString(iter124.encode('utf-8') if sys.version_info[0] == 2 else iter124)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3830,10 +4268,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.holders = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.holders.append(_elem116)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.holders.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3866,8 +4304,8 @@
         if self.holders is not None:
             oprot.writeFieldBegin('holders', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.holders))
-            for iter117 in self.holders:
-                oprot.writeString(iter117.encode('utf-8') if sys.version_info[0] == 2 else iter117)
+            for iter131 in self.holders:
+                oprot.writeString(iter131.encode('utf-8') if sys.version_info[0] == 2 else iter131)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4834,6 +5272,7 @@
      - epoch
      - version
      - number
+     - evacuation_version
 
     """
 
@@ -4842,14 +5281,16 @@
         'epoch',
         'version',
         'number',
+        'evacuation_version',
     )
 
 
-    def __init__(self, sender=None, epoch=None, version=None, number=None,):
+    def __init__(self, sender=None, epoch=None, version=None, number=None, evacuation_version=None,):
         self.sender = sender
         self.epoch = epoch
         self.version = version
         self.number = number
+        self.evacuation_version = evacuation_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4880,6 +5321,11 @@
                     self.number = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.evacuation_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4906,6 +5352,10 @@
             oprot.writeFieldBegin('number', TType.I64, 4)
             oprot.writeI64(self.number)
             oprot.writeFieldEnd()
+        if self.evacuation_version is not None:
+            oprot.writeFieldBegin('evacuation_version', TType.I64, 5)
+            oprot.writeI64(self.evacuation_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4940,6 +5390,7 @@
      - ages
      - members
      - number
+     - evacuated
 
     """
 
@@ -4950,16 +5401,18 @@
         'ages',
         'members',
         'number',
+        'evacuated',
     )
 
 
-    def __init__(self, epoch=None, version=None, targets=None, ages=None, members=None, number=None,):
+    def __init__(self, epoch=None, version=None, targets=None, ages=None, members=None, number=None, evacuated=None,):
         self.epoch = epoch
         self.version = version
         self.targets = targets
         self.ages = ages
         self.members = members
         self.number = number
+        self.evacuated = evacuated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4983,33 +5436,33 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = TargetRecord()
-                        _elem123.read(iprot)
-                        self.targets.append(_elem123)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = TargetRecord()
+                        _elem137.read(iprot)
+                        self.targets.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.ages = {}
-                    (_ktype125, _vtype126, _size124) = iprot.readMapBegin()
-                    for _i128 in range(_size124):
-                        _key129 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val130 = iprot.readDouble()
-                        self.ages[_key129] = _val130
+                    (_ktype139, _vtype140, _size138) = iprot.readMapBegin()
+                    for _i142 in range(_size138):
+                        _key143 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val144 = iprot.readDouble()
+                        self.ages[_key143] = _val144
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype134, _size131) = iprot.readListBegin()
-                    for _i135 in range(_size131):
-                        _elem136 = Member()
-                        _elem136.read(iprot)
-                        self.members.append(_elem136)
+                    (_etype148, _size145) = iprot.readListBegin()
+                    for _i149 in range(_size145):
+                        _elem150 = Member()
+                        _elem150.read(iprot)
+                        self.members.append(_elem150)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5018,6 +5471,12 @@
                     self.number = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.evacuated = Evacuated()
+                    self.evacuated.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5039,29 +5498,33 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter137 in self.targets:
-                iter137.write(oprot)
+            for iter151 in self.targets:
+                iter151.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ages is not None:
             oprot.writeFieldBegin('ages', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.ages))
-            for kiter138, viter139 in self.ages.items():
-                oprot.writeString(kiter138.encode('utf-8') if sys.version_info[0] == 2 else kiter138)
-                oprot.writeDouble(viter139)
+            for kiter152, viter153 in self.ages.items():
+                oprot.writeString(kiter152.encode('utf-8') if sys.version_info[0] == 2 else kiter152)
+                oprot.writeDouble(viter153)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter140 in self.members:
-                iter140.write(oprot)
+            for iter154 in self.members:
+                iter154.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.number is not None:
             oprot.writeFieldBegin('number', TType.I64, 6)
             oprot.writeI64(self.number)
             oprot.writeFieldEnd()
+        if self.evacuated is not None:
+            oprot.writeFieldBegin('evacuated', TType.STRUCT, 7)
+            self.evacuated.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5180,10 +5643,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.pieces = []
-                    (_etype144, _size141) = iprot.readListBegin()
-                    for _i145 in range(_size141):
-                        _elem146 = iprot.readI32()
-                        self.pieces.append(_elem146)
+                    (_etype158, _size155) = iprot.readListBegin()
+                    for _i159 in range(_size155):
+                        _elem160 = iprot.readI32()
+                        self.pieces.append(_elem160)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5195,10 +5658,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.inputs = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.inputs.append(_elem152)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.inputs.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5240,10 +5703,10 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.counts = []
-                    (_etype156, _size153) = iprot.readListBegin()
-                    for _i157 in range(_size153):
-                        _elem158 = iprot.readI32()
-                        self.counts.append(_elem158)
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = iprot.readI32()
+                        self.counts.append(_elem172)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5255,10 +5718,10 @@
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.places = []
-                    (_etype162, _size159) = iprot.readListBegin()
-                    for _i163 in range(_size159):
-                        _elem164 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.places.append(_elem164)
+                    (_etype176, _size173) = iprot.readListBegin()
+                    for _i177 in range(_size173):
+                        _elem178 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.places.append(_elem178)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5297,8 +5760,8 @@
         if self.pieces is not None:
             oprot.writeFieldBegin('pieces', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.pieces))
-            for iter165 in self.pieces:
-                oprot.writeI32(iter165)
+            for iter179 in self.pieces:
+                oprot.writeI32(iter179)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.key is not None:
@@ -5308,8 +5771,8 @@
         if self.inputs is not None:
             oprot.writeFieldBegin('inputs', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.inputs))
-            for iter166 in self.inputs:
-                oprot.writeString(iter166.encode('utf-8') if sys.version_info[0] == 2 else iter166)
+            for iter180 in self.inputs:
+                oprot.writeString(iter180.encode('utf-8') if sys.version_info[0] == 2 else iter180)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.seconds_left is not None:
@@ -5343,8 +5806,8 @@
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.LIST, 14)
             oprot.writeListBegin(TType.I32, len(self.counts))
-            for iter167 in self.counts:
-                oprot.writeI32(iter167)
+            for iter181 in self.counts:
+                oprot.writeI32(iter181)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.mark is not None:
@@ -5354,8 +5817,8 @@
         if self.places is not None:
             oprot.writeFieldBegin('places', TType.LIST, 16)
             oprot.writeListBegin(TType.STRING, len(self.places))
-            for iter168 in self.places:
-                oprot.writeString(iter168.encode('utf-8') if sys.version_info[0] == 2 else iter168)
+            for iter182 in self.places:
+                oprot.writeString(iter182.encode('utf-8') if sys.version_info[0] == 2 else iter182)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refuse_at_once is not None:
@@ -5424,20 +5887,20 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.handles = []
-                    (_etype172, _size169) = iprot.readListBegin()
-                    for _i173 in range(_size169):
-                        _elem174 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.handles.append(_elem174)
+                    (_etype186, _size183) = iprot.readListBegin()
+                    for _i187 in range(_size183):
+                        _elem188 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.handles.append(_elem188)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.reasons = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.reasons.append(_elem180)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.reasons.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5459,15 +5922,15 @@
         if self.handles is not None:
             oprot.writeFieldBegin('handles', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.handles))
-            for iter181 in self.handles:
-                oprot.writeString(iter181.encode('utf-8') if sys.version_info[0] == 2 else iter181)
+            for iter195 in self.handles:
+                oprot.writeString(iter195.encode('utf-8') if sys.version_info[0] == 2 else iter195)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reasons is not None:
             oprot.writeFieldBegin('reasons', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.reasons))
-            for iter182 in self.reasons:
-                oprot.writeString(iter182.encode('utf-8') if sys.version_info[0] == 2 else iter182)
+            for iter196 in self.reasons:
+                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.retry_after is not None:
@@ -5614,10 +6077,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.handles = []
-                    (_etype186, _size183) = iprot.readListBegin()
-                    for _i187 in range(_size183):
-                        _elem188 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.handles.append(_elem188)
+                    (_etype200, _size197) = iprot.readListBegin()
+                    for _i201 in range(_size197):
+                        _elem202 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.handles.append(_elem202)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5638,8 +6101,8 @@
         if self.handles is not None:
             oprot.writeFieldBegin('handles', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.handles))
-            for iter189 in self.handles:
-                oprot.writeString(iter189.encode('utf-8') if sys.version_info[0] == 2 else iter189)
+            for iter203 in self.handles:
+                oprot.writeString(iter203.encode('utf-8') if sys.version_info[0] == 2 else iter203)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5731,20 +6194,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype193, _size190) = iprot.readListBegin()
-                    for _i194 in range(_size190):
-                        _elem195 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.parts.append(_elem195)
+                    (_etype207, _size204) = iprot.readListBegin()
+                    for _i208 in range(_size204):
+                        _elem209 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.append(_elem209)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.sizes = []
-                    (_etype199, _size196) = iprot.readListBegin()
-                    for _i200 in range(_size196):
-                        _elem201 = iprot.readI64()
-                        self.sizes.append(_elem201)
+                    (_etype213, _size210) = iprot.readListBegin()
+                    for _i214 in range(_size210):
+                        _elem215 = iprot.readI64()
+                        self.sizes.append(_elem215)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5766,10 +6229,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype205, _size202) = iprot.readListBegin()
-                    for _i206 in range(_size202):
-                        _elem207 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem207)
+                    (_etype219, _size216) = iprot.readListBegin()
+                    for _i220 in range(_size216):
+                        _elem221 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem221)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5781,10 +6244,10 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.places = []
-                    (_etype211, _size208) = iprot.readListBegin()
-                    for _i212 in range(_size208):
-                        _elem213 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.places.append(_elem213)
+                    (_etype225, _size222) = iprot.readListBegin()
+                    for _i226 in range(_size222):
+                        _elem227 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.places.append(_elem227)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5809,15 +6272,15 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iter214 in self.parts:
-                oprot.writeString(iter214.encode('utf-8') if sys.version_info[0] == 2 else iter214)
+            for iter228 in self.parts:
+                oprot.writeString(iter228.encode('utf-8') if sys.version_info[0] == 2 else iter228)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sizes is not None:
             oprot.writeFieldBegin('sizes', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.sizes))
-            for iter215 in self.sizes:
-                oprot.writeI64(iter215)
+            for iter229 in self.sizes:
+                oprot.writeI64(iter229)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tokens is not None:
@@ -5835,8 +6298,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter216 in self.excluded:
-                oprot.writeString(iter216.encode('utf-8') if sys.version_info[0] == 2 else iter216)
+            for iter230 in self.excluded:
+                oprot.writeString(iter230.encode('utf-8') if sys.version_info[0] == 2 else iter230)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.book is not None:
@@ -5846,8 +6309,8 @@
         if self.places is not None:
             oprot.writeFieldBegin('places', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.places))
-            for iter217 in self.places:
-                oprot.writeString(iter217.encode('utf-8') if sys.version_info[0] == 2 else iter217)
+            for iter231 in self.places:
+                oprot.writeString(iter231.encode('utf-8') if sys.version_info[0] == 2 else iter231)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6275,11 +6738,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype221, _size218) = iprot.readListBegin()
-                    for _i222 in range(_size218):
-                        _elem223 = Member()
-                        _elem223.read(iprot)
-                        self.members.append(_elem223)
+                    (_etype235, _size232) = iprot.readListBegin()
+                    for _i236 in range(_size232):
+                        _elem237 = Member()
+                        _elem237.read(iprot)
+                        self.members.append(_elem237)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6300,8 +6763,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter224 in self.members:
-                iter224.write(oprot)
+            for iter238 in self.members:
+                iter238.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6440,11 +6903,11 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.entities = {}
-                    (_ktype226, _vtype227, _size225) = iprot.readMapBegin()
-                    for _i229 in range(_size225):
-                        _key230 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val231 = iprot.readBinary()
-                        self.entities[_key230] = _val231
+                    (_ktype240, _vtype241, _size239) = iprot.readMapBegin()
+                    for _i243 in range(_size239):
+                        _key244 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val245 = iprot.readBinary()
+                        self.entities[_key244] = _val245
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -6469,9 +6932,9 @@
         if self.entities is not None:
             oprot.writeFieldBegin('entities', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.entities))
-            for kiter232, viter233 in self.entities.items():
-                oprot.writeString(kiter232.encode('utf-8') if sys.version_info[0] == 2 else kiter232)
-                oprot.writeBinary(viter233)
+            for kiter246, viter247 in self.entities.items():
+                oprot.writeString(kiter246.encode('utf-8') if sys.version_info[0] == 2 else kiter246)
+                oprot.writeBinary(viter247)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6727,6 +7190,7 @@
     (8, TType.DOUBLE, 'age', None, None, ),  # 8
     (9, TType.LIST, 'leaving', (TType.STRING, 'UTF8', False), None, ),  # 9
     (10, TType.DOUBLE, 'uptime', None, None, ),  # 10
+    (11, TType.I64, 'evacuation_version', None, None, ),  # 11
 )
 all_structs.append(WatchRequest)
 WatchRequest.thrift_spec = (
@@ -6735,6 +7199,12 @@
     (2, TType.STRING, 'digest', 'BINARY', None, ),  # 2
     (3, TType.I64, 'directory_version', None, None, ),  # 3
 )
+all_structs.append(Evacuated)
+Evacuated.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.LIST, 'data_centres', (TType.STRING, 'UTF8', False), None, ),  # 2
+)
 all_structs.append(WatchReply)
 WatchReply.thrift_spec = (
     None,  # 0
@@ -6747,6 +7217,7 @@
     (7, TType.I64, 'directory_version', None, None, ),  # 7
     (8, TType.LIST, 'directory', (TType.STRUCT, [GatewayRecord, None], False), None, ),  # 8
     (9, TType.BOOL, 'fresh', None, None, ),  # 9
+    (10, TType.STRUCT, 'evacuated', [Evacuated, None], None, ),  # 10
 )
 all_structs.append(DigestRequest)
 DigestRequest.thrift_spec = (
@@ -6759,6 +7230,14 @@
     None,  # 0
     (1, TType.LIST, 'gateways', (TType.STRUCT, [GatewayRecord, None], False), None, ),  # 1
 )
+all_structs.append(EvacuationRecord)
+EvacuationRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'data_centre', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'operator', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'version', None, None, ),  # 3
+    (4, TType.DOUBLE, 'age', None, None, ),  # 4
+)
 all_structs.append(StatusRequest)
 StatusRequest.thrift_spec = (
     None,  # 0
@@ -6778,6 +7257,22 @@
     (9, TType.BOOL, 'lease', None, None, ),  # 9
     (10, TType.LIST, 'doubtful', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.I64, 'claims', None, None, ),  # 11
+    (12, TType.I64, 'evacuation_version', None, None, ),  # 12
+    (13, TType.LIST, 'evacuations', (TType.STRUCT, [EvacuationRecord, None], False), None, ),  # 13
+)
+all_structs.append(EvacuateRequest)
+EvacuateRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'data_centre', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'evacuated', None, None, ),  # 2
+    (3, TType.STRING, 'operator', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'token', 'UTF8', None, ),  # 4
+)
+all_structs.append(EvacuateReply)
+EvacuateReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'changed', None, None, ),  # 1
+    (2, TType.STRUCT, 'evacuated', [Evacuated, None], None, ),  # 2
 )
 all_structs.append(ClaimRequest)
 ClaimRequest.thrift_spec = (
@@ -6887,6 +7382,7 @@
     (2, TType.STRING, 'epoch', 'UTF8', None, ),  # 2
     (3, TType.I64, 'version', None, None, ),  # 3
     (4, TType.I64, 'number', None, None, ),  # 4
+    (5, TType.I64, 'evacuation_version', None, None, ),  # 5
 )
 all_structs.append(RegistryReply)
 RegistryReply.thrift_spec = (
@@ -6897,6 +7393,7 @@
     (4, TType.MAP, 'ages', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 4
     (5, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 5
     (6, TType.I64, 'number', None, None, ),  # 6
+    (7, TType.STRUCT, 'evacuated', [Evacuated, None], None, ),  # 7
 )
 all_structs.append(StageRequest)
 StageRequest.thrift_spec = (
--- a/traystall/rpc/messages.py
+++ b/traystall/rpc/messages.py
@@ -46,6 +46,7 @@
     Method.PLACE_NOTE: ttypes.PlaceNote,
     Method.JOIN: ttypes.JoinRequest,
     Method.READ: ttypes.ReadRequest,
+    Method.EVACUATE: ttypes.EvacuateRequest,
 }
 REPLY_TYPES = {
     Method.HELLO: ttypes.HelloReply,
@@ -68,6 +69,7 @@
     Method.PLACE: ttypes.PlaceReply,
     Method.JOIN: ttypes.JoinReply,
     Method.READ: ttypes.ReadReply,
+    Method.EVACUATE: ttypes.EvacuateReply,
 }
 METHOD_OF_REQUEST = {kind: method for method, kind in REQUEST_TYPES.items()}
 
--- a/traystall/rpc/records.py
+++ b/traystall/rpc/records.py
@@ -18,6 +18,7 @@
         direct=direct,
         leaving=tuple(record.leaving or ()),
         started_at=seen_at - (record.uptime or 0.0),
+        evacuation_version=record.evacuation_version or 0,
     )
 
 
@@ -34,6 +35,7 @@
         age=now - row.seen_at,
         leaving=list(row.leaving),
         uptime=row.seen_at - row.started_at,
+        evacuation_version=row.evacuation_version,
     )
 
 
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -34,6 +34,7 @@
   STAGE_FREED = 29
   PLACE = 30
   PLACE_NOTE = 31
+  EVACUATE = 32
 }
 
 // One framed exchange. call_id 0 means that no reply is expected.
@@ -117,21 +118,32 @@
   9: list<string> leaving
   // Seconds since it started.
   10: double uptime
+  // The version of the evacuations that it obeys.
+  11: i64 evacuation_version
 }
 struct WatchRequest { 1: GatewayRecord gateway, 2: binary digest, 3: i64 directory_version }
+// What is evacuated at a version; a higher version replaces all of a lower one.
+struct Evacuated { 1: i64 version, 2: list<string> data_centres }
 struct WatchReply {
   1: i64 number, 2: binary digest, 3: bool full, 4: binary base
   5: map<string, binary> puts, 6: list<string> deletes
   7: i64 directory_version, 8: list<GatewayRecord> directory, 9: bool fresh
+  10: Evacuated evacuated
 }
 struct DigestRequest { 1: string sender, 2: list<GatewayRecord> gateways }
 struct DigestReply { 1: list<GatewayRecord> gateways }
+// Who ordered it, and how many seconds ago by the time of the log.
+struct EvacuationRecord { 1: string data_centre, 2: string operator, 3: i64 version, 4: double age }
 struct StatusRequest { 1: string token }
 struct StatusReply {
   1: string identity, 2: string leader, 3: i64 term, 4: i64 commit, 5: i64 number, 6: binary digest
   7: list<GatewayRecord> gateways, 8: list<Member> members, 9: bool lease
   10: list<string> doubtful, 11: i64 claims
+  12: i64 evacuation_version, 13: list<EvacuationRecord> evacuations
 }
+// ---- evacuations of data centres ----
+struct EvacuateRequest { 1: string data_centre, 2: bool evacuated, 3: string operator, 4: string token }
+struct EvacuateReply { 1: bool changed, 2: Evacuated evacuated }
 
 // ---- ledger ----
 struct ClaimRequest {
@@ -168,10 +180,12 @@
 }
 // A watch of one registry: `epoch` names the life of the registry, `version` what is known of it.
 // `number` is the newest revision of the configuration that the watcher holds, or that is known.
-struct RegistryRequest { 1: string sender, 2: string epoch, 3: i64 version, 4: i64 number }
+struct RegistryRequest {
+  1: string sender, 2: string epoch, 3: i64 version, 4: i64 number, 5: i64 evacuation_version
+}
 struct RegistryReply {
   1: string epoch, 2: i64 version, 3: list<TargetRecord> targets
-  4: map<string, double> ages, 5: list<Member> members, 6: i64 number
+  4: map<string, double> ages, 5: list<Member> members, 6: i64 number, 7: Evacuated evacuated
 }
 
 // ---- pieces of stages, gathered by one gateway a pool ----
--- a/traystall/tables/gateways.py
+++ b/traystall/tables/gateways.py
@@ -22,6 +22,8 @@
     leaving: tuple[str, ...] = ()
     # When it started, in monotonic seconds of this process.
     started_at: float = float("-inf")
+    # The version of the evacuations that it obeys.
+    evacuation_version: int = 0
 
 
 class GatewayTable:
@@ -38,6 +40,7 @@
             return
         if old is not None:
             row.number = max(row.number, old.number)
+            row.evacuation_version = max(row.evacuation_version, old.evacuation_version)
         self._drop_predecessors(row)
         if old is None or _public(old) != _public(row):
             self.version += 1
