Forecast admission by playing a request's stages forward through the pools

Cause: a request was weighed against every piece that the requests under way would ever ask of a pool, as if they stood in its queue now. It also walked all requests under way for every question, and a request that waits to be let in asks 20 times a second.

How long calls take is learned from the calls. A pool without targets makes the wait infinite (found by hypothesis: the stage after it failed on an infinite time).

--- /dev/null
+++ b/benchmarks/admission_cost.py
@@ -0,0 +1,45 @@
+"""Time one question to admission beside many requests under way.
+
+Run with: python -m benchmarks.admission_cost
+A request that waits to be let in asks again every 0.05 s, so in a burst a batcher
+is asked hundreds of times a second.
+"""
+
+import time
+
+from traystall.passthrough.admission.book import AdmissionBook, Arrival
+from traystall.passthrough.admission.forecast import PoolLoad
+from traystall.routes.models import Route, Split, StagePlan
+
+_QUESTIONS = 200
+_STAGES = (StagePlan("a"), StagePlan("b", (0,)), StagePlan("c", (1,)))
+_ROUTE = Route("r", "h", "/", (Split("engine"),), aim=1.5, stages=_STAGES)
+_COUNTS = (1, 8, 16)
+
+
+def _loads(rate):
+    return {pool: PoolLoad(lambda priority: 40, rate, 0.2) for pool in "abc"}
+
+
+def measure(under_way: int) -> float:
+    """Return the microseconds of one question beside so many requests under way."""
+    book = AdmissionBook()
+    for number in range(under_way):
+        arrival = Arrival(f"r{number}", _ROUTE, _COUNTS, 1, 1e9, 6.0, f"m{number}")
+        book.admit(arrival, _loads(1e9), number / max(1, under_way))
+    arrival = Arrival("last", _ROUTE, _COUNTS, 1, -1.0, 6.0, "last")
+    loads = _loads(10.0)
+    began = time.perf_counter()
+    for _ in range(_QUESTIONS):
+        book.admit(arrival, loads, 1.0)
+    return (time.perf_counter() - began) / _QUESTIONS * 1e6
+
+
+def main() -> None:
+    """Print a row for each number of requests under way."""
+    for under_way in (10, 100, 300, 1000):
+        print(f"{under_way:5} under way: {measure(under_way):7.0f} us a question")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/cli/test_reference.py
+++ b/tests/cli/test_reference.py
@@ -65,6 +65,8 @@
 # Decisions of the pass-through gateway that a test drives without a loop or a socket.
 PURE = [
     "admission/book",
+    "admission/forecast",
+    "admission/timeline",
     "admission/waiting",
     "admission/budget",
     "entry/events",
--- a/tests/passthrough/test_admission.py
+++ b/tests/passthrough/test_admission.py
@@ -1,8 +1,11 @@
 """Requests that could not be in time are refused at once; those that have begun go through."""
 
+import functools
+
 import pytest
 
 from traystall.passthrough.admission.book import AdmissionBook, Arrival
+from traystall.passthrough.admission.forecast import PoolLoad
 from traystall.passthrough.admission.waiting import WaitForecast
 from traystall.routes.models import Route, Split, StagePlan
 
@@ -20,28 +23,34 @@
     return 0
 
 
+def admit(book, request, waiting, rates, now):
+    """Ask a book about a request whose pools have such queues and rates, and calls of 0.2 s."""
+    loads = {pool: PoolLoad(functools.partial(waiting, pool), rates[pool], 0.2) for pool in rates}
+    return book.admit(request, loads, now)
+
+
 def test_idle_system_lets_everything_in():
-    assert AdmissionBook().admit(arrival("a"), nothing, RATES, 0.0).admitted
+    assert admit(AdmissionBook(), arrival("a"), nothing, RATES, 0.0).admitted
 
 
 def test_what_others_have_begun_counts():
     book = AdmissionBook()
-    admitted = [book.admit(arrival(str(i)), nothing, RATES, 0.0).admitted for i in range(20)]
+    admitted = [admit(book, arrival(str(i)), nothing, RATES, 0.0).admitted for i in range(20)]
     assert admitted[0] and not admitted[-1]
     assert book.to_come("q", 1) == 8 * sum(admitted)
     assert book.to_come("q", 0) == 0, "less urgent work does not count for urgent work"
 
 
 def test_refusal_says_when_to_come_back():
-    verdict = AdmissionBook().admit(arrival("a"), lambda pool, priority: 400, RATES, 0.0)
+    verdict = admit(AdmissionBook(), arrival("a"), lambda pool, priority: 400, RATES, 0.0)
     assert not verdict.admitted
     assert 0.2 <= verdict.retry_after <= 2.0
 
 
 def test_request_that_has_begun_goes_through():
     book = AdmissionBook()
-    assert book.admit(arrival("a"), nothing, RATES, 0.0).admitted
-    assert book.admit(arrival("a"), lambda pool, priority: 10**6, RATES, 1.0).admitted
+    assert admit(book, arrival("a"), nothing, RATES, 0.0).admitted
+    assert admit(book, arrival("a"), lambda pool, priority: 10**6, RATES, 1.0).admitted
 
 
 def test_request_that_came_back_waits_until_there_is_plenty():
@@ -50,29 +59,29 @@
 
     book = AdmissionBook()
     pieces = 20
-    assert not book.admit(arrival("a", mark="m"), waiting, RATES, 0.0).admitted
+    assert not admit(book, arrival("a", mark="m"), waiting, RATES, 0.0).admitted
     book.refuse("m", 0.0)
-    again = book.admit(arrival("b", mark="m"), waiting, RATES, 1.0)
+    again = admit(book, arrival("b", mark="m"), waiting, RATES, 1.0)
     assert not again.admitted and again.came_back
     assert book.to_come("q", 1) == 0, "it holds nothing while it waits"
     pieces = 9
-    assert not book.admit(arrival("b", mark="m"), waiting, RATES, 1.1).admitted
-    assert book.admit(arrival("c", mark="n"), waiting, RATES, 1.1).admitted
+    assert not admit(book, arrival("b", mark="m"), waiting, RATES, 1.1).admitted
+    assert admit(book, arrival("c", mark="n"), waiting, RATES, 1.1).admitted
     pieces = 0
-    assert book.admit(arrival("b", mark="m"), waiting, {"p": 400.0, "q": 800.0}, 1.2).admitted
+    assert admit(book, arrival("b", mark="m"), waiting, {"p": 400.0, "q": 800.0}, 1.2).admitted
 
 
 def test_long_prompt_without_slack_is_let_in_while_others_are():
     def waiting(pool, priority):
         return 6 if pool == "p" else 0
 
-    assert AdmissionBook().admit(arrival("a", slack=-0.4), waiting, RATES, 0.0).admitted
+    assert admit(AdmissionBook(), arrival("a", slack=-0.4), waiting, RATES, 0.0).admitted
 
 
 def test_finished_ended_and_lost_requests_no_longer_count():
     book = AdmissionBook()
     for name in "abc":
-        book.admit(arrival(name), nothing, RATES, 0.0)
+        admit(book, arrival(name), nothing, RATES, 0.0)
     book.asked("a", 0)
     assert book.to_come("p", 1) == 2
     book.asked("a", 1)
@@ -80,7 +89,7 @@
     book.made("a", 1, 0.5, 1.2)
     book.ended("b")
     assert book.to_come("q", 1) == 8
-    book.admit(arrival("d"), nothing, RATES, 100.0)
+    admit(book, arrival("d"), nothing, RATES, 100.0)
     assert book.to_come("q", 1) == 8, "only the newest is left"
 
 
@@ -89,7 +98,7 @@
     book = AdmissionBook()
     for i in range(60):
         began = i * 0.1
-        verdict = book.admit(arrival(str(i)), lambda pool, priority: 8, RATES, began)
+        verdict = admit(book, arrival(str(i)), lambda pool, priority: 8, RATES, began)
         if not verdict.admitted:
             break
         for stage in (0, 1):
@@ -100,9 +109,9 @@
 def test_what_was_learned_fades():
     """A scale that lets nobody in must not stay because nobody was let in."""
     book = AdmissionBook()
-    book.admit(arrival("a"), nothing, RATES, 0.0)
+    admit(book, arrival("a"), nothing, RATES, 0.0)
     book.scale = 2.0
-    book.admit(arrival("b"), nothing, RATES, 12.0)
+    admit(book, arrival("b"), nothing, RATES, 12.0)
     assert book.scale < 0.8
 
 
--- a/tests/passthrough/test_cells.py
+++ b/tests/passthrough/test_cells.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -128,8 +129,9 @@
 
 
 def _refuse(admit):
-    def refused(arrival, waiting, rates, now):
-        return admit(arrival, waiting, {pool: 0.0 for pool in rates}, now)
+    def refused(arrival, loads, now):
+        idle = {p: msgspec.structs.replace(load, rate=0.0) for p, load in loads.items()}
+        return admit(arrival, idle, now)
 
     return refused
 
--- /dev/null
+++ b/tests/support/stage_burst.py
@@ -0,0 +1,188 @@
+"""Replay a burst of staged requests through pools, with admission as the daemon does it.
+
+Only time is simulated: queues hand out calls first come, first served, each
+target one call at a time. No room, no data centres, no failures.
+"""
+
+import heapq
+import itertools
+import random
+
+import msgspec
+
+from traystall.passthrough.admission.book import AdmissionBook, Arrival
+from traystall.passthrough.admission.forecast import PoolLoad
+from traystall.routes.models import BatchProfile, Route, Split, StagePlan
+
+# How often a request that waits to be let in asks again, and how long it waits at the most, in
+# seconds and as a part of its aim: as in the batcher.
+ASK_SECONDS = 0.05
+PATIENCE_PART = 0.2
+
+
+class SimPool:
+    """Hold one pool: its targets and what waits for them."""
+
+    def __init__(self, targets: int, profile: BatchProfile):
+        self.targets = targets
+        self.free = targets
+        self.profile = profile
+        self.waiting: list[tuple[int, int, object]] = []
+        self.pieces_made = 0
+        self.calls = 0
+
+    def load(self) -> PoolLoad:
+        """Return what admission is told of this pool."""
+        full = self.profile.seconds(self.profile.batch)
+
+        def waiting(priority):
+            return sum(1 for other, _, _ in self.waiting if other <= priority)
+
+        return PoolLoad(waiting, self.targets * self.profile.batch / full, full)
+
+
+class Kind(msgspec.Struct, frozen=True):
+    """Describe one kind of request: its route, rate a second, pieces, and time for its stages."""
+
+    route: Route
+    rate: float
+    counts: tuple[int, ...]
+    slack: float
+
+
+class Fate(msgspec.Struct):
+    """Tell what became of one request; `wait` is what was forecast when it was let in."""
+
+    kind: str
+    at: float
+    refused: bool = False
+    wait: float = 0.0
+    stages_seconds: float = 0.0
+    in_time: bool = False
+
+
+class Burst:
+    """Play arrivals of some kinds, each of them by a seed of its own."""
+
+    def __init__(self, pools: dict[str, SimPool], kinds: list[Kind], seed: int = 1):
+        self.pools = pools
+        self.kinds = kinds
+        self.book = AdmissionBook()
+        self.fates: list[Fate] = []
+        self._random = random.Random(seed)
+        self._events: list = []
+        self._order = itertools.count()
+
+    def run(self, seconds: float, factor, admit=None) -> list[Fate]:
+        """Play so many seconds; `factor(kind, time)` is how much more than usual comes."""
+        self._admit = admit or self.book.admit
+        for kind in self.kinds:
+            self._schedule_arrivals(kind, seconds, factor)
+        while self._events:
+            time, _, step = heapq.heappop(self._events)
+            step(time)
+        return self.fates
+
+    def _at(self, time, step):
+        heapq.heappush(self._events, (time, next(self._order), step))
+
+    def _schedule_arrivals(self, kind, seconds, factor):
+        time = 0.0
+        while True:
+            most = kind.rate * 3.0
+            time += self._random.expovariate(most)
+            if time > seconds:
+                return
+            if self._random.random() < kind.rate * factor(kind.route.name, time) / most:
+                self._at(time, self._arrive(kind))
+
+    def _arrive(self, kind):
+        def step(now):
+            fate = Fate(kind.route.name, now)
+            self.fates.append(fate)
+            self._ask(kind, fate, f"{kind.route.name}{len(self.fates)}", now, now)
+
+        return step
+
+    def _ask(self, kind, fate, name, since, now):
+        loads = {stage.pool: self.pools[stage.pool].load() for stage in kind.route.stages}
+        waited = now - since
+        arrival = Arrival(name, kind.route, kind.counts, 1, kind.slack - waited, 6.0, name)
+        verdict = self._admit(arrival, loads, now)
+        if verdict.admitted:
+            fate.wait = verdict.wait
+            self._begin_stage(kind, fate, name, since, 0, now)
+        elif waited + ASK_SECONDS > kind.route.aim * PATIENCE_PART:
+            fate.refused = True
+        else:
+            self._at(now + ASK_SECONDS, lambda at: self._ask(kind, fate, name, since, at))
+
+    def _begin_stage(self, kind, fate, name, since, stage, now):
+        while stage < len(kind.counts) and not kind.counts[stage]:
+            stage += 1
+        if stage == len(kind.counts):
+            fate.stages_seconds = now - since
+            usual = sum(
+                self.pools[s.pool].profile.seconds(self.pools[s.pool].profile.batch)
+                for s in kind.route.stages
+            )
+            fate.in_time = fate.stages_seconds <= kind.slack + usual
+            return
+        self.book.asked(name, stage)
+        pool = self.pools[kind.route.stages[stage].pool]
+        left = [kind.counts[stage]]
+
+        def done(at):
+            left[0] -= 1
+            if not left[0]:
+                self.book.made(name, stage, 0.0, at)
+                self._begin_stage(kind, fate, name, since, stage + 1, at)
+
+        begun = 0 if stage else 1
+        pool.waiting += [(1, begun, done)] * kind.counts[stage]
+        self._pump(pool, now)
+
+    def _pump(self, pool, now):
+        pool.waiting.sort(key=lambda row: row[1])
+        while pool.free and pool.waiting:
+            batch, pool.waiting = (
+                pool.waiting[: pool.profile.batch],
+                pool.waiting[pool.profile.batch :],
+            )
+            pool.free -= 1
+            pool.calls += 1
+            pool.pieces_made += len(batch)
+            self._at(now + pool.profile.seconds(len(batch)), self._ended(pool, batch))
+
+    def _ended(self, pool, batch):
+        def step(now):
+            pool.free += 1
+            for _, _, done in batch:
+                done(now)
+            self._pump(pool, now)
+
+        return step
+
+
+def chain(name: str, aim: float, *pools: str) -> Route:
+    """Return a route whose stages read one another in order."""
+    stages = tuple(StagePlan(pool, (i - 1,) if i else ()) for i, pool in enumerate(pools))
+    return Route(name, "h", "/", (Split("engine"),), aim=aim, stages=stages)
+
+
+def hive_pools(targets=(3, 3, 4)) -> dict[str, SimPool]:
+    """Return the pools of one cell: capacities of about 150, 715 and 1,400 pieces a second."""
+    return {
+        "ledger": SimPool(targets[0], BatchProfile(1, 2, 14, 0.15, 0.0092)),
+        "map": SimPool(targets[1], BatchProfile(1, 2, 66, 0.15, 0.0019)),
+        "push": SimPool(targets[2], BatchProfile(1, 2, 96, 0.15, 0.0013)),
+    }
+
+
+def hive_kinds() -> list[Kind]:
+    """Return a third of the requests of the customer whose work has shifted."""
+    return [
+        Kind(chain("summary", 1.063, "ledger"), 12.0, (2,), 0.35),
+        Kind(chain("brief", 1.645, "ledger", "map", "push"), 15.6, (1, 8, 16), 0.6),
+        Kind(chain("chat", 1.526, "ledger", "map", "push"), 21.0, (1, 8, 16), 0.5),
+    ]
--- a/traystall/passthrough/admission/book.py
+++ b/traystall/passthrough/admission/book.py
@@ -10,7 +10,13 @@
 
 import msgspec
 
-from traystall.passthrough.admission.waiting import WaitForecast
+from traystall.passthrough.admission.forecast import (
+    PoolForecast,
+    PoolLoad,
+    chain_wait,
+    stage_times,
+)
+from traystall.passthrough.admission.timeline import Expected
 from traystall.routes.models import Route
 
 # A request must be expected this part of its aim before it is late: a forecast errs both ways.
@@ -77,7 +83,8 @@
     arrival: Arrival
     since: float
     wait: float
-    asked: set[int] = msgspec.field(default_factory=set)
+    # By stage, what its pool expects of it until it is asked for.
+    expected: dict[int, Expected] = msgspec.field(default_factory=dict)
     done: set[int] = msgspec.field(default_factory=set)
 
 
@@ -86,31 +93,28 @@
 
     def __init__(self):
         self._chains: dict[str, _Chain] = {}
-        self._forecasts: dict[str, WaitForecast] = {}
+        self._forecasts: dict[str, PoolForecast] = {}
         self._refused: dict[str, float] = {}
         # How long requests have waited beside what was forecast for them.
         self.scale = _USUAL_SCALE
         self._scaled_at = 0.0
 
-    def admit(self, arrival: Arrival, waiting, rates: dict[str, float], now: float) -> Verdict:
-        """Decide on a request; one that has begun is always let through.
-
-        `waiting(pool, priority)` returns the pieces that wait there and go before
-        work of a priority, `rates` how many pieces a second each pool makes.
-        """
+    def admit(self, arrival: Arrival, loads: dict[str, PoolLoad], now: float) -> Verdict:
+        """Decide on a request by the `loads` of its pools; one that has begun is let through."""
         if arrival.request_id in self._chains:
             return Verdict(True, 0.0)
         self._forget(now)
         self._fade(now)
-        raw_wait = self._longest_wait(arrival, waiting, rates, now)
+        route = arrival.route
+        raw_wait = chain_wait(
+            route.stages, arrival.counts, arrival.priority, loads, self._forecast, now
+        )
         wait = raw_wait * self.scale
         came_back = arrival.mark in self._refused
         limit = _limit(arrival) * (_RETURN_PART if came_back else 1.0)
         if wait > limit:
             return Verdict(False, wait, _retry_after(arrival, wait), came_back)
-        self._chains[arrival.request_id] = _Chain(arrival, now, raw_wait)
-        for pool, count in arrival.demand().items():
-            self._forecast(pool).note(arrival.priority, count, now)
+        self._begin(arrival, raw_wait, loads, now)
         return Verdict(True, wait)
 
     def refuse(self, mark: str, now: float) -> None:
@@ -121,7 +125,7 @@
         """Note that the pieces of a stage were asked for: they now wait in their queue."""
         chain = self._chains.get(request_id)
         if chain is not None:
-            chain.asked.add(stage)
+            self._take_back(chain, stage)
 
     def made(self, request_id: str, stage: int, usual_seconds: float, now: float) -> None:
         """Note that a stage was made; after the last one learn from how long all took.
@@ -134,7 +138,7 @@
         chain.done.add(stage)
         if chain.arrival.demand(frozenset(chain.done)):
             return
-        del self._chains[request_id]
+        self.ended(request_id)
         waited = now - chain.since - usual_seconds
         if chain.wait > _SHORT_WAIT:
             found = max(0.0, waited) / chain.wait
@@ -143,24 +147,40 @@
 
     def ended(self, request_id: str) -> None:
         """Note that a request is over, whatever it has still to ask for."""
-        self._chains.pop(request_id, None)
+        chain = self._chains.pop(request_id, None)
+        if chain is not None:
+            for stage in list(chain.expected):
+                self._take_back(chain, stage)
 
     def to_come(self, pool: str, priority: int) -> int:
         """Return how many pieces requests that have begun will still ask of a pool."""
-        return sum(
-            chain.arrival.demand(frozenset(chain.asked)).get(pool, 0)
-            for chain in self._chains.values()
-            if chain.arrival.priority <= priority
+        return self._forecast(pool).timeline.total(priority)
+
+    def _begin(self, arrival, wait, loads, now):
+        """Count what a request will ask of each pool, and when."""
+        chain = self._chains[arrival.request_id] = _Chain(arrival, now, wait)
+        stages = arrival.route.stages
+        times = stage_times(
+            stages,
+            arrival.counts,
+            lambda pool: loads[pool].call_seconds,
+            lambda pool, at: 0.0,
+            now,
         )
+        for index, count in enumerate(arrival.counts):
+            if count:
+                forecast = self._forecast(stages[index].pool)
+                expected = forecast.timeline.expect(arrival.priority, times[index][0], count)
+                chain.expected[index] = expected
+        for pool, count in arrival.demand().items():
+            self._forecast(pool).arrivals.note(arrival.priority, count, now)
 
-    def _longest_wait(self, arrival, waiting, rates, now):
-        waits = [0.0]
-        for pool in arrival.demand():
-            ahead = waiting(pool, arrival.priority) + self.to_come(pool, arrival.priority)
-            forecast = self._forecast(pool)
-            rate = rates.get(pool, 0.0)
-            waits.append(forecast.seconds(arrival.priority, ahead, rate, now))
-        return max(waits)
+    def _take_back(self, chain, stage):
+        """Expect the pieces of a stage no longer."""
+        expected = chain.expected.pop(stage, None)
+        if expected is not None:
+            pool = chain.arrival.route.stages[stage].pool
+            self._forecast(pool).timeline.take_back(expected)
 
     def _fade(self, now):
         elapsed = max(0.0, now - self._scaled_at)
@@ -168,13 +188,16 @@
         above = max(0.0, self.scale - _USUAL_SCALE)
         self.scale -= above * (1.0 - 0.5 ** (elapsed / _HALF_SECONDS))
 
-    def _forecast(self, pool) -> WaitForecast:
-        return self._forecasts.setdefault(pool, WaitForecast())
+    def _forecast(self, pool) -> PoolForecast:
+        found = self._forecasts.get(pool)
+        if found is None:
+            found = self._forecasts[pool] = PoolForecast()
+        return found
 
     def _forget(self, now):
         for request_id, chain in list(self._chains.items()):
             if now - chain.since > _LOST_SECONDS:
-                del self._chains[request_id]
+                self.ended(request_id)
         for mark, at in list(self._refused.items()):
             if now - at > _REMEMBERED_SECONDS:
                 del self._refused[mark]
--- /dev/null
+++ b/traystall/passthrough/admission/forecast.py
@@ -0,0 +1,91 @@
+"""Play the stages of a request forward through the pools as they are. Pure; monotonic seconds.
+
+What the requests under way will still ask of a pool is counted when it comes, less
+what the pool serves until then: counted at once, it would turn requests away from
+pools that are three quarters empty.
+"""
+
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from traystall.passthrough.admission.timeline import DemandTimeline
+from traystall.passthrough.admission.waiting import WaitForecast
+from traystall.routes.models import StagePlan
+
+
+# Stages that would begin later than this, in seconds, are of no use to any caller: chosen.
+_FAR_SECONDS = 60.0
+
+
+class PoolLoad(msgspec.Struct, frozen=True):
+    """Describe a pool as it is now.
+
+    `waiting(priority)` returns the pieces in its queue that go before work of a
+    priority, `rate` how many pieces a second it makes with full calls, `call_seconds`
+    how long its calls take lately.
+    """
+
+    waiting: Callable[[int], int]
+    rate: float
+    call_seconds: float
+
+
+class PoolForecast:
+    """Hold what is known of the demand at one pool: what has come lately and what will come."""
+
+    def __init__(self):
+        self.arrivals = WaitForecast()
+        self.timeline = DemandTimeline()
+
+    def wait(self, priority: int, load: PoolLoad, now: float, at: float) -> float:
+        """Return how long a piece waits that is asked for at `at`, in seconds."""
+        left = self.arrivals.left_rate(priority, load.rate, now)
+        if left <= 0 or at > now + _FAR_SECONDS:
+            return float("inf")
+        return self.timeline.backlog(priority, load.waiting(priority), left, now, at) / left
+
+
+def stage_times(
+    stages: tuple[StagePlan, ...],
+    counts: tuple[int, ...],
+    seconds: Callable[[str], float],
+    wait: Callable[[str, float], float],
+    now: float,
+) -> list[tuple[float, float]]:
+    """Return for each stage when it is asked for and when it ends.
+
+    `seconds(pool)` is how long a call takes, `wait(pool, at)` how long a piece waits.
+    """
+    times: list[tuple[float, float]] = []
+    for stage, count in zip(stages, counts, strict=True):
+        asked = max((times[earlier][1] for earlier in stage.after), default=now)
+        ends = asked
+        if count:
+            ends += wait(stage.pool, asked) + seconds(stage.pool)
+        times.append((asked, ends))
+    return times
+
+
+def chain_wait(
+    stages: tuple[StagePlan, ...],
+    counts: tuple[int, ...],
+    priority: int,
+    loads: Mapping[str, PoolLoad],
+    forecasts: Callable[[str], PoolForecast],
+    now: float,
+) -> float:
+    """Return how much longer the stages of a request take than without any waiting."""
+
+    def seconds(pool):
+        return loads[pool].call_seconds
+
+    def wait(pool, at):
+        return forecasts(pool).wait(priority, loads[pool], now, at)
+
+    def no_wait(pool, at):
+        return 0.0
+
+    ends = max((end for _, end in stage_times(stages, counts, seconds, wait, now)), default=now)
+    usual = max((end for _, end in stage_times(stages, counts, seconds, no_wait, now)), default=now)
+    return ends - usual if ends < float("inf") else ends
--- a/traystall/passthrough/admission/waiting.py
+++ b/traystall/passthrough/admission/waiting.py
@@ -40,14 +40,16 @@
         self._arrivals.setdefault(priority, ArrivalRate()).add(pieces, now)
 
     def seconds(self, priority: int, ahead: int, served_rate: float, now: float) -> float:
-        """Return how long a new piece waits behind `ahead` pieces that go before it.
+        """Return how long a new piece waits behind `ahead` pieces that go before it."""
+        left = self.left_rate(priority, served_rate, now)
+        return ahead / left if left > 0 else float("inf")
+
+    def left_rate(self, priority: int, served_rate: float, now: float) -> float:
+        """Return how many pieces a second are served of an urgency and of more urgent ones.
 
         Of the `served_rate`, what comes meanwhile and is more urgent takes its part first.
         """
-        if served_rate <= 0:
-            return float("inf")
         urgent = sum(
             rate.at_time(now) for other, rate in self._arrivals.items() if other < priority
         )
-        left = max(served_rate - urgent, served_rate * _MIN_LEFT)
-        return ahead / left
+        return max(served_rate - urgent, served_rate * _MIN_LEFT)
--- a/traystall/passthrough/stages/batcher.py
+++ b/traystall/passthrough/stages/batcher.py
@@ -299,12 +299,8 @@
             mark=request.mark or "",
         )
         pools = {stage.pool for stage in route.stages}
-        rates = {pool: self._queue(cell, pool).rate(now) for pool in pools}
-
-        def waiting(pool, priority):
-            return self._queue(cell, pool).waiting(priority)
-
-        return self._book(cell).admit(arrival, waiting, rates, now)
+        loads = {pool: self._queue(cell, pool).load(now) for pool in pools}
+        return self._book(cell).admit(arrival, loads, now)
 
     def _book(self, cell) -> AdmissionBook:
         return self._books.setdefault(cell, AdmissionBook())
--- a/traystall/passthrough/stages/piece_queue.py
+++ b/traystall/passthrough/stages/piece_queue.py
@@ -6,6 +6,7 @@
 
 from traystall.core import clock
 from traystall.core.logs import decision
+from traystall.passthrough.admission.forecast import PoolLoad
 from traystall.passthrough.dialect import PieceResult
 from traystall.passthrough.exceptions import ExchangeError
 from traystall.passthrough.stages.batching import FreeTarget, PieceJob, take_batch
@@ -25,6 +26,8 @@
 _SOON_SECONDS = 0.02
 # A queue this young, in seconds, does not know what its targets still do for another gateway.
 _SETTLED_SECONDS = 2.0
+# Weight of the newest call in how long calls take: chosen.
+_CALL_LEARNING = 0.1
 
 
 class _Call(msgspec.Struct, eq=False):
@@ -60,6 +63,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._since = clock.monotonic()
         self._room_watch = RoomWatch(context, self.pump)
+        # How long calls take lately, 0 before the first one.
+        self._call_seconds = 0.0
 
     async def run(self, request: StageRequest, home: StageHome) -> StageReply:
         """Return once all pieces of a call are made, or it is clear that they won't be."""
@@ -96,6 +101,12 @@
         """Return whether somebody waits for pieces of this queue."""
         return bool(self._calls)
 
+    def load(self, now: float) -> PoolLoad:
+        """Return how this pool is now, for forecasts."""
+        profile = self._profile()
+        usual = profile.seconds(profile.batch) if profile else 0.0
+        return PoolLoad(self.waiting, self.rate(now), self._call_seconds or usual)
+
     def waiting(self, priority: int) -> int:
         """Return how many pieces wait that go before new work of a priority."""
         return sum(1 for job in self._waiting if job.priority <= priority)
@@ -209,8 +220,11 @@
         try:
             results = await call_worker(self._context, view, batch, expected)
             self._context.places.on_heard(view.report.data_centre)
-            worker.learn(clock.monotonic() - began, expected)
-            view.on_success(clock.monotonic() - began)
+            seconds = clock.monotonic() - began
+            worker.learn(seconds, expected)
+            view.on_success(seconds)
+            self._call_seconds += _CALL_LEARNING * (seconds - (self._call_seconds or seconds))
+            self._call_seconds = self._call_seconds or seconds
         except ExchangeError as error:
             self._context.board.on_exchange_error(view, error, clock.monotonic())
             reason = "error" if error.sent else UNREACHABLE
