Keep what is held when deltas of a configuration cross

A gateway asks several control daemons at once; the second answer no longer fits, the gateway forgot what it held and got the whole configuration, 88 gateways some ten times each, on links of 5 Mbit/s that also carry the pieces.

Change: a delta made for what was held before is dropped; what is held stays. At most two control daemons are asked at once. A delta that fits and leads elsewhere is refused as before.

Test: two replies for one base, the second after the first (fails before: DeltaMismatch); a wrong delta still asks for a full copy.

--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from traystall.catalog.deltas import entities_digest
+from traystall.catalog.deltas import EMPTY_DIGEST, entities_digest, make_delta
 from traystall.core import clock
 from traystall.core.exceptions import RpcUnavailable
-from traystall.gateway.configuration import ConfigurationFollower
+from traystall.gateway.configuration import ConfigurationFollower, HeldRevision
 from traystall.rpc.gen.wire.ttypes import GatewayRecord, WatchReply
 
 
@@ -64,3 +64,43 @@
 )
 def test_first_revision(answers, number):
     assert asyncio.run(_take(answers))[0] == number
+
+
+def delta_reply(number, old, new):
+    """Return a reply that turns the entities `old` into `new`."""
+    delta = make_delta(old, new)
+    return WatchReply(
+        number=number,
+        digest=delta.result,
+        full=False,
+        base=delta.base,
+        puts=delta.puts,
+        deletes=delta.deletes,
+    )
+
+
+def revision(number):
+    return {"customer/a": str(number).encode(), f"customer/{number}": b"x"}
+
+
+def test_replies_that_cross_leave_what_is_held():
+    """Two control daemons answer for the same base; the second answer comes after the first."""
+    held = HeldRevision()
+    held.take(delta_reply(1, {}, revision(1)))
+    first, second = (delta_reply(n, revision(1), revision(n)) for n in (2, 3))
+    assert held.take(first)
+    assert not held.take(second)
+    assert (held.number, held.digest) == (2, entities_digest(revision(2)))
+    assert held.take(delta_reply(3, revision(2), revision(3)))
+    assert held.entities == revision(3)
+
+
+def test_delta_that_leads_elsewhere_is_refused_and_a_full_copy_asked_for():
+    follower = ConfigurationFollower(Links({}), [], [], GatewayRecord)
+    follower.held.take(delta_reply(1, {}, revision(1)))
+    wrong = delta_reply(2, revision(1), revision(2))
+    wrong.puts = {"customer/a": b"another"}
+    assert not follower._take(wrong)
+    assert follower.held.digest == EMPTY_DIGEST
+    assert follower._take(delta_reply(3, {}, revision(3)))
+    assert follower.held.entities == revision(3)
--- a/traystall/gateway/configuration.py
+++ b/traystall/gateway/configuration.py
@@ -37,7 +37,7 @@
 
     def take(self, reply: WatchReply) -> bool:
         """Take in a reply; return whether the revision moved. Raise DeltaMismatch if unusable."""
-        if (reply.number or 0) <= self.number:
+        if (reply.number or 0) <= self.number or self._is_crossed(reply):
             return False
         delta = self._delta_of(reply)
         entities = apply_delta(self.entities, self.digest, delta)
@@ -46,6 +46,16 @@
         self.digest = delta.result
         return True
 
+    def _is_crossed(self, reply):
+        """Return whether a delta was made for what was held before another reply was taken.
+
+        Several control daemons are asked at once. What is held stays good, and the next watch
+        gets what is missing. To forget it would ask for a full copy: after a restart of the
+        control daemons 88 gateways did so ten times each, which filled links of 5 Mbit/s for a
+        second and cut their batchers off.
+        """
+        return not reply.full and (reply.base or b"") != self.digest
+
     def _delta_of(self, reply):
         if not reply.full:
             return Delta(reply.base, reply.digest, reply.puts or {}, list(reply.deletes or ()))
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -33,6 +33,8 @@
 
 ROLE = "gateway"
 _PUMP_SECONDS = 0.25
+# So many control daemons are asked for a new revision at once: one of them may be cut off. Chosen.
+_MAX_FETCHES = 2
 # How long what was batched for other gateways may take after the last own request, in seconds.
 _BATCHED_SECONDS = 0.3
 # How long connections without a request may take to close, in seconds.
@@ -155,8 +157,10 @@
         """Take a new revision from whoever told of it first.
 
         The watch of one control daemon alone would miss it while that daemon is
-        lost or cut off.
+        lost or cut off. Who told of it tells again until it is held.
         """
+        if len(self._fetches) >= _MAX_FETCHES:
+            return
         task = asyncio.create_task(self.gateway_context.follower.take_from(address))
         self._fetches.add(task)
         task.add_done_callback(self._fetches.discard)
