Give the bound on cold targets a module of its own

Cause: the context had taken in what a gateway may send to cold targets, a second job; and a gateway that calls workers by itself, because it can't reach the batcher, took the batcher's part of the bound.

Change: health/cold_targets.py holds the decision with its clock, health/cold.py stays pure. A queue takes the part of the one that acts for all only where this gateway is the batcher. Ruled out: the placer's fallback, which had its own part already.

--- a/tests/passthrough/test_cold.py
+++ b/tests/passthrough/test_cold.py
@@ -131,8 +131,8 @@
             cold = TargetReport("e-0", "engine", engines[0].address, "here", sequence=2, warming=3)
             gateway.context.board.merge(cold, clock.monotonic())
             view = gateway.context.board.view("e-0")
-            assert gateway.context.may_warm(view, for_all=True)
-            assert not gateway.context.may_warm(view)
+            assert gateway.context.cold.may_send(view, for_all=True)
+            assert not gateway.context.cold.may_send(view)
 
     run(story())
 
--- a/traystall/passthrough/context.py
+++ b/traystall/passthrough/context.py
@@ -9,18 +9,13 @@
 from traystall.passthrough.admission.budget import BudgetRule, RepeatBudget
 from traystall.passthrough.dialect import HeaderNames, StageDialect
 from traystall.passthrough.health.board import TargetBoard, TargetView
-from traystall.passthrough.health.cold import (
-    ColdBook,
-    ColdRule,
-    coordinator_allowance,
-    own_allowance,
-)
+from traystall.passthrough.health.cold import ColdRule
+from traystall.passthrough.health.cold_targets import ColdTargets
 from traystall.passthrough.health.places import DataCentreWatch
 from traystall.passthrough.ownership.owners import Owners, batching_key
 from traystall.passthrough.stages.cells import Cells, batching_cells
 from traystall.registry.follower import RegistryFollower
 from traystall.routes.matching import RouteIndex
-from traystall.routes.models import Pool
 from traystall.tables.gateways import GatewayRow
 
 _MIN_CONNECTIONS = 4
@@ -29,8 +24,6 @@
 _LOOK_SECONDS = 0.02
 # Weight of the newest duration of a stage.
 _LEARNING = 0.15
-# What is known of a pool that is not declared.
-_NO_POOL = Pool("")
 
 
 class PassContext:
@@ -57,8 +50,7 @@
         self.owners = Owners(self)
         self.batcher = None
         self.placing = None
-        self.cold_book = ColdBook()
-        self._cold_rule = cold_rule
+        self.cold = ColdTargets(self, cold_rule)
         self._budget_rule = budget_rule
         self._budgets: dict[str, RepeatBudget] = {}
         self._stage_seconds: dict[str, float] = {}
@@ -101,9 +93,8 @@
 
     def on_evacuations(self, before: EvacuatedPlaces, after: EvacuatedPlaces) -> None:
         """Send nothing more to what is evacuated now; take up slowly what was restored."""
-        now = clock.monotonic()
         for data_centre in before.data_centres - after.data_centres:
-            self.board.expect_cold(data_centre, self._cold_seconds, now)
+            self.cold.expect(data_centre)
         self.board.set_evacuated(after.data_centres)
 
     def is_evacuated(self, view: TargetView) -> bool:
@@ -114,43 +105,6 @@
         """Return whether a pool has targets, but all outside `places` or evacuated."""
         return bool(self.board.pool(pool)) and not self.board.inside(pool, places)
 
-    def may_warm(self, view: TargetView, *, for_all: bool = False) -> bool:
-        """Return whether a target may get one more request now: a cold one bears only few.
-
-        `for_all` says that this gateway sends what all others would.
-        """
-        now = clock.monotonic()
-        pool = self.index.pools.get(view.report.pool)
-        if now >= view.cold_until or pool is None or not pool.cold_per_second:
-            return True
-        per_second = pool.cold_per_second
-        sent = self.cold_book.count(view.identity, now)
-        if for_all:
-            return sent < coordinator_allowance(self._cold_rule, per_second)
-        gateways = [row.identity for row in self.follower.directory]
-        acts_for_all = pool.engine is not None or pool.batches is not None
-        allowed = own_allowance(
-            self._cold_rule,
-            per_second,
-            view.identity,
-            self.identity,
-            gateways,
-            dealt=not acts_for_all,
-        )
-        return sent < allowed
-
-    def note_sent(self, view: TargetView) -> None:
-        """Count a request for a target, should it be cold or become so."""
-        if self.index.pools.get(view.report.pool, _NO_POOL).cold_per_second:
-            self.cold_book.note(view.identity, clock.monotonic())
-
-    def retain_cold(self) -> None:
-        """Forget what was sent to targets that are gone."""
-        self.cold_book.retain(self.board.identities())
-
-    def _cold_seconds(self, pool: str) -> float:
-        return self.index.pools.get(pool, _NO_POOL).cold_seconds
-
     def learn_engine(self, usual: float, found: float) -> None:
         """Learn from a first event how long engines take beside what a prompt usually takes."""
         self._engine_scale += _LEARNING * (found / max(0.01, usual) - self._engine_scale)
--- a/traystall/passthrough/exchange/runner.py
+++ b/traystall/passthrough/exchange/runner.py
@@ -187,11 +187,11 @@
         pool = context.index.pools.get(passed.pool)
         if pool is not None and pool.engine is not None:
             return await context.placing.choose(passed, book)
-        found = [v for v in context.usable(passed.pool, passed.places) if context.may_warm(v)]
+        found = [v for v in context.usable(passed.pool, passed.places) if context.cold.may_send(v)]
         mean = context.board.mean_seconds(passed.pool)
         view = choice.choose_target(found, passed.tried, context.data_centre, mean, context.random)
         if view is not None:
-            context.note_sent(view)
+            context.cold.note_sent(view)
         return view
 
     async def _attempt(self, passed, view, sink, chain) -> Response | Failure | None:
--- a/traystall/passthrough/placement/placing.py
+++ b/traystall/passthrough/placement/placing.py
@@ -88,7 +88,7 @@
         if request.book:
             identity = placer.place(placement, choices, now)
             if identity:
-                self._context.note_sent(self._context.board.view(identity))
+                self._context.cold.note_sent(self._context.board.view(identity))
             return PlaceReply(identity=identity)
         return PlaceReply(identity=placer.likely(placement, choices, now))
 
@@ -161,7 +161,7 @@
             for name, held in self._placers.items():
                 views = self._context.board.pool(name)
                 held.retain({view.identity for view in views}, now)
-            self._context.retain_cold()
+            self._context.cold.retain()
         return placer
 
     def _choices(self, pool, excluded, places, for_all) -> list[EngineChoice]:
@@ -172,5 +172,5 @@
             for view in self._context.usable(pool, places)
             if view.identity not in excluded
             and view.connections.has_room()
-            and self._context.may_warm(view, for_all=for_all)
+            and self._context.cold.may_send(view, for_all=for_all)
         ]
--- a/traystall/passthrough/stages/piece_queue.py
+++ b/traystall/passthrough/stages/piece_queue.py
@@ -203,12 +203,13 @@
         for view, worker in known:
             self._room_watch.review(view, worker, profile, now)
         sound = sum(1 for _, worker in known if worker.ratio < SLOW_RATIO)
+        batches_for_all = self._context.batching_owner(self._cell) is None
         free = [
             (view, worker)
             for view, worker in known
             if worker.calls < profile.slots
             and now >= max(view.avoid_until, worker.wait_until)
-            and self._context.may_warm(view, for_all=True)
+            and self._context.cold.may_send(view, for_all=batches_for_all)
             and worker.is_worth_calling(profile, len(self._waiting), sound, now)
         ]
         return sorted(free, key=lambda pair: (pair[1].ratio, pair[0].identity))
@@ -223,7 +224,7 @@
         size = sum(job.result_bytes for job in batch)
         # Counted here, not in the task: until that runs the target would look free.
         worker.began(now, size, profile.seconds(len(batch)))
-        self._context.note_sent(view)
+        self._context.cold.note_sent(view)
         self._spawn(self._call(view, worker, batch, profile, size))
 
     def _keep_together(self, batch, data_centre):
