Spread light pieces over the cells by their workers, not by the engines

Cause: a request's pieces are made in the cell of its likely engine, and engines are even.

Ruled out: asking the other cell after a refusal alone (stands; costs the way there and back, and the full cell lets its own in late); moving requests with heavy results (3 MB each cross).

Change: a cell whose part of the workers, by the pool that it has least of, is below its part of the engines hands on what is above it, drawn by the request's name and alike at every gateway. Requests with heavy results and those of customers with places stay.

Sites with one cell are not touched.

--- a/traystall/passthrough/entry/request.py
+++ b/traystall/passthrough/entry/request.py
@@ -15,6 +15,9 @@
 _PATIENCE_AIMS = 4.0
 _MIN_PATIENCE = 2.0
 _PATIENCE_PART = 0.9
+# A stage that makes more than this is read where it is made: at 10 MB for a second of waiting
+# (the exchange rate of batching) it is worth 0.1 s. Chosen.
+_HEAVY_BYTES = 1_000_000
 
 
 class PassRequest:
@@ -84,6 +87,12 @@
         own = self.prompt.parts[-1].name if self.prompt.parts else ""
         return f"{self.route.name} {own} {self.prompt.tokens} {self.piece_counts}"
 
+    @property
+    def has_heavy_results(self) -> bool:
+        """Return whether a stage makes so much that it should not cross data centres."""
+        made = zip(self.route.stages, self.piece_counts, strict=True)
+        return any(count * stage.result_bytes > _HEAVY_BYTES for stage, count in made)
+
     def stage_seconds_left(self) -> float:
         """Return how long the stages may still take to be of use.
 
--- a/traystall/passthrough/exchange/runner.py
+++ b/traystall/passthrough/exchange/runner.py
@@ -32,7 +32,7 @@
 )
 from traystall.passthrough.health.board import TargetView
 from traystall.passthrough.placement import choice
-from traystall.passthrough.stages.cells import cell_of, other_cell
+from traystall.passthrough.stages.cells import balanced_cell, cell_of, other_cell
 from traystall.passthrough.stages.chain import InputsGone, StageChain, StageFailed
 
 # A request that must not run twice goes only on connections that rested less than this, in
@@ -133,6 +133,9 @@
         """Run the stages in the cell of the likely target, or in another one if it is busy."""
         cells = self._context.cells()
         cell = cell_of(passed.request_id, passed.home, cells)
+        balanced = self._balanced_cell(passed, cell, cells)
+        if balanced != cell:
+            cell = passed.home = balanced
         other = other_cell(passed.request_id, cell, cells, passed.places)
         if not other:
             return await chain.run()
@@ -148,6 +151,20 @@
         passed.home = other
         return await chain.run()
 
+    def _balanced_cell(self, passed, cell, cells) -> str:
+        """Return the cell for a request, which may be another than the one of its engine.
+
+        Results that are heavy stay where they are read, and a customer's where they may be.
+        """
+        if not cells or passed.places or passed.has_heavy_results:
+            return cell
+        board = self._context.board
+        stages = zip(passed.route.stages, passed.piece_counts, strict=True)
+        pools = {stage.pool for stage, count in stages if count}
+        workers = [board.data_centres(pool) for pool in pools]
+        engines = board.data_centres(passed.pool)
+        return balanced_cell(passed.request_id, cell, cells, workers, engines)
+
     async def _run_attempts(self, passed, sink, chain):
         unreachable = 0
         failure: Failure | None = None
--- a/traystall/passthrough/stages/cells.py
+++ b/traystall/passthrough/stages/cells.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 
 import msgspec
+import xxhash
 
 from traystall.passthrough.ownership.rendezvous import rendezvous_order
 
@@ -69,6 +70,54 @@
     return cells.of(data_centre) or rendezvous_order(request_id, cells.names())[0]
 
 
+def balanced_cell(
+    request_id: str,
+    home: str,
+    cells: Cells,
+    pools: Iterable[Counter[str]],
+    engines: Counter[str],
+) -> str:
+    """Return the cell that makes the pieces of a request whose results may well cross.
+
+    `home` is the cell whose engine will probably read them, `pools` count the workers
+    of each pool that the request asks, `engines` those that read, by data centre.
+    Requests go to engines by their number, so a cell with fewer workers than engines,
+    compared with the others, hands on what is above its part: by the name of the
+    request, alike at every gateway.
+    """
+    asked = _shares(engines, cells)
+    able = _capacity_shares(pools, cells)
+    if not asked or not able or able[home] >= asked[home]:
+        return home
+    drawn = xxhash.xxh64_intdigest(f"cell {request_id}".encode()) / 2**64
+    kept = able[home] / asked[home]
+    if drawn < kept:
+        return home
+    left = (drawn - kept) / (1 - kept) * sum(max(0.0, able[n] - asked[n]) for n in able)
+    for name in able:
+        left -= max(0.0, able[name] - asked[name])
+        if left < 0:
+            return name
+    return home
+
+
+def _shares(counts, cells) -> dict[str, float]:
+    """Return the part of `counts` that each cell has; nothing if no cell has any."""
+    found = {name: _workers_in(inside, counts) for name, inside in cells.members.items()}
+    whole = sum(found.values())
+    return {name: count / whole for name, count in found.items()} if whole else {}
+
+
+def _capacity_shares(pools, cells) -> dict[str, float]:
+    """Return the part of the work that each cell can take, by the pool that it has least of."""
+    by_pool = [_shares(workers, cells) for workers in pools]
+    if not by_pool or not all(by_pool):
+        return {}
+    least = {name: min(shares[name] for shares in by_pool) for name in cells.members}
+    whole = sum(least.values())
+    return {name: part / whole for name, part in least.items()} if whole else {}
+
+
 def other_cell(request_id: str, tried: str, cells: Cells, places: tuple[str, ...]) -> str:
     """Return a cell to try after `tried`, inside `places` if any are named; WHOLE if none is."""
     left = [
