--- a/benchmarks/play_days.py
+++ b/benchmarks/play_days.py
@@ -1,11 +1,11 @@
 """Play days of our own on the users' bench and print broken rules, gate and score of each.
 
-    python -m benchmarks.play_days BENCH SITE --why "..." [--only NAME,...] [--jobs N]
+    python -m benchmarks.play_days BENCH SITE --why "..." [--only NAME,...] [--jobs N] [--small]
 
 BENCH is the bench's program and SITE a site file of it. Traffic, goals and marks
 are taken from the site's first quiet day; the troubles from benchmarks/days/.
 Days are written under target/days/ and played one after the other, `--jobs` at
-a time.
+a time; `--small` plays the small twins of a large site.
 """
 
 import argparse
@@ -46,6 +46,7 @@
     parser.add_argument("--why", required=True)
     parser.add_argument("--only", default="")
     parser.add_argument("--jobs", type=int, default=2)
+    parser.add_argument("--small", action="store_true")
     return parser.parse_args()
 
 
@@ -66,6 +67,8 @@
     path = SCRATCH / f"{Path(arguments.site).stem}-{trouble['name']}.toml"
     path.write_text(_toml(day))
     command = [arguments.bench, "run", arguments.site, str(path), "--why", arguments.why]
+    if arguments.small:
+        command.append("--small")
     found = subprocess.run(command, capture_output=True, text=True, cwd=ROOT, check=False)
     path.with_suffix(".txt").write_text(found.stdout + found.stderr)
     return f"| {trouble['name']} | {_result(found.stdout, found.stderr)} |"
