Bound what a large configuration may take from a narrow link

Cause: a whole delta or full copy is one reply with a time-out of 1.5 or 1.6 s, asked for at up to three control daemons at once. Where its bytes take longer than that beside other traffic, every reply is late and thrown away, and the next one starts from the beginning: the configuration never comes into force and the link stays full of copies. Change: tests only. Seven cases with real control daemons and a real gateway behind one narrow link (tests/support/narrow_link.py, with tests of its own) bound bytes and seconds of the link's clock, not the way in which the configuration is asked for. Control daemons of tests/support/control_group.py can listen at another address than they advertise. It is not mended here.

--- /dev/null
+++ b/tests/gateway/test_configuration_transfer.py
@@ -0,0 +1,282 @@
+"""How much a gateway takes from a narrow link for a large configuration, and for how long.
+
+A configuration of 500 KB was acknowledged, yet stayed away from gateways for 13 s on links of
+10 Mbit/s. Each gateway asked several control daemons at once for the whole of it, with a time-out
+shorter than the transfer took beside other traffic. It threw the late replies away and began anew,
+so the links were full of copies that nobody read, and none of them came into force.
+
+The bounds here hold on any link: a configuration costs little more than its size once, and is in
+force about as soon as the link can carry it. Each gateway has real control daemons and a link on
+which the transfer takes longer than one call may. Sizes are bytes and times seconds of the link's
+own clock.
+"""
+
+import asyncio
+import random
+import string
+
+import pytest
+
+from tests.support.control_group import ControlGroup, free_address
+from tests.support.narrow_link import NarrowLink
+from traystall.conf.settings import load
+from traystall.core.serialization import pack
+from traystall.passthrough.daemon import PassGateway
+from traystall.passthrough.dialect import HeaderNames, PlainStageDialect
+from traystall.passthrough.settings import SETTINGS, check_gateway
+from traystall.routes.models import Pool, Route, Split
+from traystall.routes.tables import translate_entities
+
+LINK_BYTES_PER_SECOND = 200_000
+BUSY_SHARE = 0.5
+# What watches and replies without configuration may take, in bytes a second.
+TALK_BYTES_PER_SECOND = 6_000
+LARGE_ROUTES = 55
+SMALL_ROUTES = 1
+PATH_CHARACTERS = 4_000
+# Characters that may stand in a path and don't repeat in any order: 6.3 of 8 bits each.
+CHARACTERS = string.ascii_letters + string.digits + "-._~!$&'()*+,;=:@"
+# The part of a configuration that has come when something happens to the transfer.
+PART_BEFORE = 0.4
+STILL_SECONDS = 2.0
+# What may come for one whole transfer, in sizes of the configuration: the rest is overhead, or was
+# on its way when the transfer was interrupted.
+WHOLE_SIZES = 1.3
+WHOLE_SIZES_AFTER_INTERRUPTION = 1.2
+# How much longer than its bytes need a transfer may take, as a factor and in seconds.
+SLOWNESS = 1.2
+NOTICE_SECONDS = 2.0
+# What may pass besides until a gateway goes on after an interruption, in seconds.
+INTERRUPTION_SECONDS = 4.0
+# The longest a case may take on a busy machine, in seconds.
+WALL_SECONDS = 60.0
+
+
+def routes(seed, count):
+    """Return entities of so many routes that can hardly be compressed."""
+    source = random.Random(seed)
+    rows = {}
+    for number in range(count):
+        path = "".join(source.choices(CHARACTERS, k=PATH_CHARACTERS))
+        name = f"{seed}-{number}"
+        rows[f"route/{name}"] = pack(Route(name, "shop.example", f"/{path}/", (Split("plain"),)))
+    return rows
+
+
+BASE = {"pool/plain": pack(Pool("plain")), **routes("base", SMALL_ROUTES)}
+LARGE = BASE | routes("large", LARGE_ROUTES)
+LARGER = LARGE | routes("more", SMALL_ROUTES)
+
+
+def size_of(entities):
+    """Return the bytes of what entities have more than the base."""
+    return sum(len(key) + len(value) for key, value in entities.items() if key not in BASE)
+
+
+class Site:
+    """Hold three control daemons, and gateways behind one narrow link."""
+
+    def __init__(self, root):
+        self.group = ControlGroup(root)
+        self.link = NarrowLink(LINK_BYTES_PER_SECOND, BUSY_SHARE)
+        self.gateways = []
+
+    async def start(self, entities):
+        """Form the group and put a configuration in force there."""
+        for name in "abc":
+            self.group.listening[name] = free_address()
+            self.group.addresses[name] = await self.link.add(name, self.group.listening[name])
+        await asyncio.gather(*(self.group.start(name, founding=True) for name in "abc"))
+        await self.group.until(lambda: self.group.live_voters() == {"a", "b", "c"})
+        await self.apply(1, entities)
+
+    async def start_gateway(self):
+        """Start a gateway that knows the control daemons by their relays."""
+        values = {
+            "cluster": "test",
+            "instance": f"gateway-{len(self.gateways)}",
+            "data-centre": "here",
+            "listen": free_address(),
+            "rpc-listen": free_address(),
+            "control": ",".join(self.group.addresses.values()),
+            "drain-notice": "0",
+        }
+        argv = [f"--{name}={value}" for name, value in values.items()]
+        settings = load("traystall-pass", SETTINGS, [check_gateway], argv, {})
+        gateway = PassGateway(settings, translate_entities, HeaderNames(), PlainStageDialect())
+        await gateway.start()
+        self.gateways.append(gateway)
+
+    async def apply(self, number, entities):
+        """Put a revision in force at every control daemon."""
+        name = next(iter(self.group.daemons))
+        await self.group.apply_entities(name, number, entities)
+        daemons = self.group.daemons.values()
+        await self.group.until(lambda: all(d.node.state.catalog.number == number for d in daemons))
+
+    def held(self):
+        """Return the number of the revision in force at the gateway that started last."""
+        return self.gateways[-1].gateway_context.follower.held.number
+
+    async def stop(self):
+        for gateway in self.gateways:
+            await gateway.stop()
+        await self.group.stop_all()
+        await self.link.close()
+
+
+class Transfer:
+    """Measure from now on what a revision takes to come into force at the last gateway."""
+
+    def __init__(self, site, number, entities):
+        self._site = site
+        self._number = number
+        self._size = size_of(entities)
+        self._began = site.link.seconds
+        self._before = dict(site.link.delivered)
+        self._bytes = WHOLE_SIZES * self._size
+        self._spare_seconds = NOTICE_SECONDS
+
+    def delivered(self):
+        """Return the bytes delivered so far, by the daemon that sent them."""
+        counts = self._site.link.delivered
+        return {name: counts[name] - self._before.get(name, 0) for name in counts}
+
+    def seconds(self):
+        """Return the seconds of the link's clock so far."""
+        return self._site.link.seconds - self._began
+
+    async def until_part(self):
+        """Return the daemon that most came from, once a part of the revision has come."""
+        while sum(self.delivered().values()) < PART_BEFORE * self._size:
+            assert self.seconds() < self._limit(), "Too little was delivered."
+            await asyncio.sleep(0.01)
+        return max(self.delivered(), key=self.delivered().get)
+
+    def was_interrupted(self, seconds=0.0):
+        """Allow for a new beginning now, after an interruption that lasted so many seconds."""
+        came = sum(self.delivered().values())
+        self._bytes = came + WHOLE_SIZES_AFTER_INTERRUPTION * self._size
+        self._spare_seconds += seconds + INTERRUPTION_SECONDS
+
+    async def finish(self):
+        """Return once the revision is in force; fail if it takes too long or too much."""
+        limit = self._limit()
+        while self._site.held() < self._number and self.seconds() <= limit:
+            await asyncio.sleep(0.01)
+        seconds = self.seconds()
+        came = self.delivered()
+        most = self._bytes + TALK_BYTES_PER_SECOND * seconds
+        told = (
+            f"revision {self._site.held()} is in force after {seconds:.1f} s (limit {limit:.1f} s);"
+            f" {sum(came.values())} bytes came (limit {most:.0f}) for {self._size}: {came}"
+        )
+        print(told)
+        assert self._site.held() >= self._number, told
+        assert sum(came.values()) <= most, told
+
+    def _limit(self):
+        """Return within how many seconds the revision must be in force."""
+        width = self._site.link.free_bytes_per_second
+        return SLOWNESS * self._bytes / width + self._spare_seconds
+
+
+def play(tmp_path, story):
+    """Run a story on a site of its own."""
+
+    async def bounded():
+        site = Site(tmp_path)
+        try:
+            async with asyncio.timeout(WALL_SECONDS):
+                await story(site)
+        finally:
+            await site.stop()
+
+    asyncio.run(bounded())
+
+
+async def change_running_gateway(site, number=2, entities=LARGE):
+    """Let a gateway hold the base, then apply a large change.
+
+    Return the measured transfer of the revision `number`, which may be a later one.
+    """
+    await site.start(BASE)
+    await site.start_gateway()
+    await site.group.until(lambda: site.held() == 1)
+    transfer = Transfer(site, number, entities)
+    await site.apply(2, LARGE)
+    return transfer
+
+
+def test_large_change_reaches_a_running_gateway(tmp_path):
+    async def story(site):
+        transfer = await change_running_gateway(site)
+        await transfer.finish()
+
+    play(tmp_path, story)
+
+
+def test_large_configuration_reaches_a_gateway_that_starts(tmp_path):
+    async def story(site):
+        await site.start(LARGE)
+        transfer = Transfer(site, 1, LARGE)
+        await site.start_gateway()
+        await transfer.finish()
+
+    play(tmp_path, story)
+
+
+async def fall_silent(site, name):
+    site.link.silence(name)
+
+
+async def stop(site, name):
+    site.link.reset(name)
+    await site.group.stop(name)
+
+
+@pytest.mark.parametrize("lose", [fall_silent, stop])
+def test_large_change_goes_on_after_its_source_is_lost(tmp_path, lose):
+    async def story(site):
+        transfer = await change_running_gateway(site)
+        await lose(site, await transfer.until_part())
+        transfer.was_interrupted()
+        await transfer.finish()
+
+    play(tmp_path, story)
+
+
+def test_small_change_during_a_large_one_is_in_force_as_well(tmp_path):
+    async def story(site):
+        transfer = await change_running_gateway(site, 3, LARGER)
+        await transfer.until_part()
+        await site.apply(3, LARGER)
+        transfer.was_interrupted()
+        await transfer.finish()
+
+    play(tmp_path, story)
+
+
+def test_large_change_survives_a_link_that_stands_still(tmp_path):
+    async def story(site):
+        transfer = await change_running_gateway(site)
+        await transfer.until_part()
+        site.link.stand_still()
+        await asyncio.sleep(STILL_SECONDS)
+        site.link.go_on()
+        transfer.was_interrupted(STILL_SECONDS)
+        await transfer.finish()
+
+    play(tmp_path, story)
+
+
+def test_gateway_that_restarts_leaves_no_copies_on_the_link(tmp_path):
+    async def story(site):
+        transfer = await change_running_gateway(site)
+        await transfer.until_part()
+        await site.gateways.pop().stop()
+        await site.start_gateway()
+        transfer.was_interrupted()
+        await transfer.finish()
+
+    play(tmp_path, story)
--- a/tests/support/control_group.py
+++ b/tests/support/control_group.py
@@ -34,6 +34,8 @@
     def __init__(self, root, founders=("a", "b", "c")):
         self._root = root
         self.addresses = {name: free_address() for name in founders}
+        # Where daemons listen that advertise another address: a relay stands there.
+        self.listening = {}
         self._founders = tuple(founders)
         self.daemons = {}
         self.http = {}
@@ -45,7 +47,8 @@
             "cluster": "test",
             "instance": name,
             "data-centre": "here",
-            "rpc-listen": address,
+            "rpc-listen": self.listening.get(name, address),
+            "rpc-advertise": address,
             "http-listen": self.http.setdefault(name, free_address()),
             "data-folder": self._root / name,
             "join": ",".join(self._known(name)),
--- /dev/null
+++ b/tests/support/narrow_link.py
@@ -0,0 +1,235 @@
+"""One narrow link between a gateway and all its control daemons, with other traffic on it.
+
+Relays stand at the addresses that control daemons advertise. What the daemons send to the
+gateway shares one link of a given width; connections that have bytes waiting take turns of one
+segment each. Other traffic takes a fixed share of the width at all times. A connection has small
+bounded buffers here: when they are full nothing more is read, and the daemon that writes is held
+up. What the gateway sends, and what control daemons say to one another, passes unshaped.
+
+Widths are bytes a second, sizes bytes, times seconds. The link has a clock of its own, which does
+not run while the machine leaves the event loop waiting: a bound in its seconds says what the link
+could have carried, however busy the machine is.
+"""
+
+import asyncio
+import collections
+import contextlib
+import socket
+
+from traystall.core import clock
+from traystall.core.exceptions import RpcError
+from traystall.rpc.framing import read_frame
+from traystall.rpc.gen.wire.ttypes import Hello
+from traystall.rpc.messages import decode, encode
+
+# What one connection sends before it is the turn of the next, in bytes.
+_SEGMENT_BYTES = 1400
+# What waits for its turn on one connection, in bytes; the kernel's buffer comes on top of it.
+_QUEUE_BYTES = 8 * 1024
+_KERNEL_BUFFER_BYTES = 8 * 1024
+# How often the bytes that the width allows are handed out, in seconds.
+_TURN_SECONDS = 0.01
+# The link's clock goes on by this much at most from one turn to the next, in seconds.
+_LONGEST_TURN_SECONDS = 0.1
+_CHUNK_BYTES = 64 * 1024
+_GATEWAY_ROLE = "gateway"
+
+
+class NarrowLink:
+    """Carry what control daemons send to one gateway; count what is delivered."""
+
+    def __init__(self, bytes_per_second: float, busy_share: float):
+        # What other traffic leaves free, in bytes a second.
+        self.free_bytes_per_second = bytes_per_second * (1 - busy_share)
+        # Bytes that reached the gateway, by the name of the control daemon that sent them.
+        self.delivered: collections.Counter[str] = collections.Counter()
+        # How long the link has been in use by its own clock, in seconds.
+        self.seconds = 0.0
+        self._credit_bytes = 0.0
+        self._still = False
+        self._silent: set[str] = set()
+        self._turns: collections.deque[_Connection] = collections.deque()
+        self._servers: list[asyncio.Server] = []
+        self._tasks: set[asyncio.Task] = set()
+        self._carrier = asyncio.create_task(self._carry_forever())
+
+    async def add(self, name: str, target: str) -> str:
+        """Return the address of a relay to the control daemon `name`, which listens at `target`."""
+
+        async def serve(reader, writer):
+            await self._serve(name, target, reader, writer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self._servers.append(server)
+        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    def stand_still(self) -> None:
+        """Let no byte pass either way until `go_on`; nothing is closed."""
+        self._still = True
+
+    def go_on(self) -> None:
+        """End what `stand_still` began."""
+        self._still = False
+
+    def silence(self, name: str) -> None:
+        """Let no byte pass between the gateway and one daemon any more; nothing is closed."""
+        self._silent.add(name)
+
+    def reset(self, name: str) -> None:
+        """Break the gateway's connections to one daemon, as its end does; what waits is lost."""
+        for connection in list(self._turns):
+            if connection.name == name:
+                connection.close()
+
+    async def close(self) -> None:
+        """Close every connection and stop listening."""
+        for server in self._servers:
+            server.close()
+        tasks = [self._carrier, *self._tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def is_held(self, name: str) -> bool:
+        """Return whether no byte may pass to or from a daemon now."""
+        return self._still or name in self._silent
+
+    async def _serve(self, name, target, reader, writer):
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            await self._relay(name, target, reader, writer)
+        except (OSError, asyncio.IncompleteReadError, RpcError):
+            pass
+        except asyncio.CancelledError:
+            pass  # By `close`; passed on, it would be logged as an error of the stream's own task.
+        finally:
+            self._tasks.discard(task)
+            writer.transport.abort()
+
+    async def _relay(self, name, target, reader, writer):
+        greeting = await read_frame(reader)
+        is_gateway = decode(Hello, greeting.body).role == _GATEWAY_ROLE
+        inner_reader, inner_writer = await _connect(target, is_gateway)
+        try:
+            data = encode(greeting)
+            inner_writer.write(len(data).to_bytes(4, "big") + data)
+            if is_gateway:
+                await self._relay_gateway(name, (reader, writer), (inner_reader, inner_writer))
+            else:
+                await _first(_pump(reader, inner_writer), _pump(inner_reader, writer))
+        finally:
+            inner_writer.transport.abort()
+
+    async def _relay_gateway(self, name, outer, inner):
+        connection = _Connection(name, outer[1])
+        self._turns.append(connection)
+        try:
+            await _first(
+                connection.fill(inner[0]),
+                _pump(outer[0], inner[1], lambda: self.is_held(name)),
+                connection.closed.wait(),
+            )
+        finally:
+            self._turns.remove(connection)
+
+    async def _carry_forever(self):
+        before = clock.monotonic()
+        while True:
+            await asyncio.sleep(_TURN_SECONDS)
+            now = clock.monotonic()
+            passed = min(now - before, _LONGEST_TURN_SECONDS)
+            before = now
+            self.seconds += passed
+            if not self._still:
+                self._credit_bytes += passed * self.free_bytes_per_second
+                self._take_turns()
+
+    def _take_turns(self):
+        """Hand out what the width allows now; what nobody has bytes for is not kept."""
+        idle = 0
+        while self._credit_bytes > 0 and idle < len(self._turns):
+            connection = self._turns[0]
+            self._turns.rotate(-1)
+            sent = 0 if connection.name in self._silent else connection.send(_SEGMENT_BYTES)
+            idle = 0 if sent else idle + 1
+            self._credit_bytes -= sent
+            self.delivered[connection.name] += sent
+        self._credit_bytes = min(self._credit_bytes, 0.0)
+
+
+class _Connection:
+    """Hold what waits for its turn on one connection of the gateway."""
+
+    def __init__(self, name, writer):
+        self.name = name
+        self.closed = asyncio.Event()
+        self._writer = writer
+        self._waiting = bytearray()
+        self._sent = asyncio.Event()
+
+    async def fill(self, reader):
+        """Take in what the daemon sends as there is room; return once all of it is delivered."""
+        while data := await reader.read(_SEGMENT_BYTES):
+            self._waiting += data
+            await self._until_below(_QUEUE_BYTES)
+        await self._until_below(1)
+
+    def send(self, most):
+        """Send at most so many bytes to the gateway; return how many it were."""
+        if self.closed.is_set() or self._writer.is_closing():
+            return 0
+        data = bytes(self._waiting[:most])
+        if data:
+            del self._waiting[:most]
+            self._writer.write(data)
+            self._sent.set()
+        return len(data)
+
+    def close(self):
+        """Break the connection; what waits is lost."""
+        self._waiting.clear()
+        self.closed.set()
+
+    async def _until_below(self, limit):
+        while len(self._waiting) >= limit:
+            self._sent.clear()
+            await self._sent.wait()
+
+
+async def _connect(target, narrow):
+    """Open a connection to a daemon, with small buffers and segments if it is a narrow one."""
+    host, port = target.split(":")
+    if not narrow:
+        return await asyncio.open_connection(host, int(port))
+    sock = socket.socket()
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _KERNEL_BUFFER_BYTES)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, _SEGMENT_BYTES)
+        await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+    except BaseException:
+        sock.close()
+        raise
+    return await asyncio.open_connection(sock=sock, limit=_SEGMENT_BYTES)
+
+
+async def _pump(reader, writer, is_held=lambda: False):
+    """Pass bytes on as they come, none while the link is held."""
+    while data := await reader.read(_CHUNK_BYTES):
+        while is_held():
+            await asyncio.sleep(_TURN_SECONDS)
+        writer.write(data)
+        await writer.drain()
+
+
+async def _first(*coroutines):
+    """Return once one of these has ended; end the others."""
+    tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
+    try:
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task in tasks:
+            task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(*tasks, return_exceptions=True)
