--- /dev/null
+++ b/tests/support/directory_site.py
@@ -0,0 +1,193 @@
+"""A site of gateways that watch one control daemon in this process, to count what the directory costs.
+
+The gateways are the product's own followers and the daemon is the product's own
+`Subscribers`; between them every message is encoded and decoded, but no socket
+is used, so that nothing but the directory varies.
+"""
+
+import asyncio
+import contextlib
+import time
+from types import SimpleNamespace
+
+from traystall.catalog.deltas import EMPTY_DIGEST, Delta
+from traystall.control.subscribers import Subscribers
+from traystall.core import clock
+from traystall.evacuations.models import EvacuatedPlaces
+from traystall.gateway.configuration import ConfigurationFollower
+from traystall.rpc.gen.wire.ttypes import GatewayRecord, WatchReply, WatchRequest
+from traystall.rpc.messages import decode, encode
+
+CONTROL = "control-1:7000"
+_DATA_CENTRES = 11
+
+
+class Catalog:
+    """Hold a configuration of which only the number matters; every delta of it is empty."""
+
+    def __init__(self):
+        self.number = 0
+        self.digest = EMPTY_DIGEST
+        self.entities: dict[str, bytes] = {}
+
+    def delta_since(self, digest: bytes) -> Delta:
+        """Return that nothing has changed."""
+        return Delta(digest, self.digest, {}, [])
+
+
+class ControlNode:
+    """Stand for the node of a control daemon: a state, no group, wakes on demand."""
+
+    def __init__(self):
+        self.state = SimpleNamespace(
+            catalog=Catalog(), evacuations=SimpleNamespace(places=EvacuatedPlaces())
+        )
+        self.replica = SimpleNamespace(identity="control-1", members=[])
+        self.on_applied = []
+
+    def is_fresh(self) -> bool:
+        """Return that this daemon follows a working leader."""
+        return True
+
+    def applied(self) -> None:
+        """Tell whoever listens that the state has moved."""
+        for callback in self.on_applied:
+            callback()
+
+
+class SiteGateway:
+    """Run one gateway's follower; `restart` replaces it by a new life of the same instance."""
+
+    def __init__(self, site: "Site", number: int):
+        self.instance = f"gateway-{number:03}"
+        self.state = "serving"
+        self.directory_bytes = 0
+        self.reply_bytes = 0
+        self.news = 0
+        self._site = site
+        self._number = number
+        self._life = 0
+        self._task: asyncio.Task | None = None
+        self.start()
+
+    @property
+    def identity(self) -> str:
+        """Return the name of the present life."""
+        return f"{self.instance}/{self._life:020x}"
+
+    def start(self) -> None:
+        """Begin a new life."""
+        self._life += 1
+        self.state = "serving"
+        self._started_at = clock.monotonic()
+        self.follower = ConfigurationFollower(_Links(self), [CONTROL], [], self._describe)
+        self._task = asyncio.create_task(self.follower.follow_forever())
+
+    async def stop(self) -> None:
+        """End this life at once."""
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+
+    async def restart(self, drain_seconds: float) -> None:
+        """Drain, end, and begin again."""
+        self.state = "draining"
+        await asyncio.sleep(drain_seconds)
+        await self.stop()
+        self.start()
+
+    async def call(self, request: WatchRequest, timeout: float) -> WatchReply:
+        """Watch the control daemon as over a link; count what comes back, in bytes."""
+        async with asyncio.timeout(timeout):
+            reply = await self._site.subscribers.watch(decode(WatchRequest, encode(request)))
+        began = time.perf_counter()
+        body = encode(reply)
+        self._site.control_seconds += time.perf_counter() - began
+        self.reply_bytes += len(body)
+        self.directory_bytes += len(body) - len(encode(_without_directory(reply)))
+        self.news += reply.directory_version != request.directory_version
+        return decode(WatchReply, body)
+
+    def _describe(self):
+        return GatewayRecord(
+            identity=self.identity,
+            instance=self.instance,
+            data_centre=f"queretaro-{self._number % _DATA_CENTRES}",
+            address=f"10.20.{self._number}.1:8080",
+            rpc_address=f"10.20.{self._number}.1:7100",
+            number=0,
+            state=self.state,
+            age=0.0,
+            leaving=[],
+            uptime=clock.monotonic() - self._started_at,
+            evacuation_version=0,
+        )
+
+
+class Site:
+    """Run `count` gateways; `control_seconds` is spent on making and encoding replies."""
+
+    def __init__(self, count: int):
+        self.node = ControlNode()
+        self.subscribers = Subscribers(self.node, None, CONTROL)
+        self.control_seconds = 0.0
+        self._time_replies()
+        self.gateways = [SiteGateway(self, number) for number in range(count)]
+
+    async def settle(self, seconds: float) -> None:
+        """Wait until every gateway lists all; raise TimeoutError if that takes longer."""
+        wanted = {gateway.identity for gateway in self.gateways}
+        async with asyncio.timeout(seconds):
+            while any(listed(gateway) != wanted for gateway in self.gateways):
+                await asyncio.sleep(0.05)
+
+    async def restart_in_turn(self, count: int, every: float, drain_seconds: float) -> None:
+        """Restart the first `count` gateways, one each `every` seconds; return when all run."""
+        async with asyncio.TaskGroup() as group:
+            for gateway in self.gateways[:count]:
+                group.create_task(gateway.restart(drain_seconds))
+                await asyncio.sleep(every)
+
+    async def stop(self) -> None:
+        """End every gateway."""
+        for gateway in self.gateways:
+            await gateway.stop()
+
+    def _time_replies(self):
+        make = self.subscribers._reply
+
+        def timed(request):
+            began = time.perf_counter()
+            reply = make(request)
+            self.control_seconds += time.perf_counter() - began
+            return reply
+
+        self.subscribers._reply = timed
+
+
+def listed(gateway: SiteGateway) -> set[str]:
+    """Return the identities in a gateway's directory."""
+    return {row.identity for row in gateway.follower.directory}
+
+
+class _Links:
+    """Lead every address to the one control daemon."""
+
+    def __init__(self, gateway):
+        self._gateway = gateway
+
+    def link(self, address):
+        return self._gateway
+
+
+def _without_directory(reply):
+    return WatchReply(
+        number=reply.number,
+        digest=reply.digest,
+        full=reply.full,
+        base=reply.base,
+        puts=reply.puts,
+        deletes=reply.deletes,
+        fresh=reply.fresh,
+        evacuated=reply.evacuated,
+    )
