--- /dev/null
+++ b/tests/gateway/test_directory.py
@@ -0,0 +1,320 @@
+"""What a gateway lists is what its control daemon lists, however it was told."""
+
+import asyncio
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.support.old_peers import OldControl, as_old_reply
+from traystall.control.directory import DirectoryNews
+from traystall.gateway.configuration import ConfigurationFollower
+from traystall.gateway.directory import FollowedDirectory
+from traystall.rpc.gen.wire.ttypes import GatewayRecord, WatchReply, WatchRequest
+from traystall.rpc.messages import decode, encode
+from traystall.tables.gateways import GATEWAY_LIFETIME, GatewayRow, GatewayTable
+
+# So few that the random sequences pass them.
+_REMEMBERED_DROPS = 3
+_INSTANCES = 5
+_LIVES = 2
+_SEQUENCES = 300
+
+
+def row(instance, life=1, now=0.0, state="serving", leaving=(), started_at=0.0):
+    return GatewayRow(
+        identity=f"{instance}/{life}",
+        instance=instance,
+        data_centre="here",
+        address=f"{instance}:80",
+        rpc_address=f"{instance}:70",
+        number=1,
+        state=state,
+        seen_at=now,
+        direct=True,
+        leaving=leaving,
+        started_at=started_at,
+    )
+
+
+def essentials(rows):
+    return [(r.identity, r.instance, r.address, r.state, r.leaving) for r in rows]
+
+
+class Control:
+    """Answer watches of one table over the wire's encoding."""
+
+    def __init__(self, now=0.0):
+        self.table = GatewayTable(_REMEMBERED_DROPS)
+        self.news = DirectoryNews(self.table)
+
+    def answer(self, request: bytes, now: float) -> bytes:
+        reply = WatchReply()
+        self.news.tell(reply, decode(WatchRequest, request), now)
+        return encode(reply)
+
+
+def ask(followed, with_directory=True):
+    request = WatchRequest()
+    followed.describe_base(request, with_directory)
+    return encode(request)
+
+
+def watch(followed, control, now):
+    """Ask and take the answer; return the reply."""
+    reply = decode(WatchReply, control.answer(ask(followed), now))
+    followed.take(reply, now)
+    return reply
+
+
+def test_changes_alone_are_told_and_the_rest_stays_as_it_was():
+    control, followed = Control(), FollowedDirectory()
+    for name in "abc":
+        control.table.put(row(name, started_at=-30.0))
+    assert len(watch(followed, control, 0.0).directory) == 3
+    control.table.put(row("b", now=2.0, state="draining", started_at=-30.0))
+    control.table.put(row("c", life=2, now=2.0, started_at=1.0))
+    reply = watch(followed, control, 2.5)
+    assert reply.directory is None and reply.directory_dropped == ["c/1"]
+    assert {r.identity for r in reply.directory_changed} == {"b/1", "c/2"}
+    started = {r.identity: r.started_at for r in followed.rows}
+    assert started == pytest.approx({"a/1": -30.0, "b/1": -30.0, "c/2": 1.0})
+    assert [r.state for r in followed.rows] == ["serving", "draining", "serving"]
+    assert followed.rows[0].seen_at == 0.0
+
+
+@pytest.mark.parametrize("field", ["number", "evacuation_version", "seen_at"])
+def test_what_only_ages_is_no_news(field):
+    control, followed = Control(), FollowedDirectory()
+    control.table.put(row("a"))
+    watch(followed, control, 0.0)
+    control.table.put(msgspec.structs.replace(row("a", now=1.0), **{field: 7}))
+    reply = watch(followed, control, 7.0)
+    assert reply.directory is None and reply.directory_base is None
+
+
+def test_gateway_that_fell_silent_leaves_the_list():
+    control, followed = Control(), FollowedDirectory()
+    control.table.put(row("a"))
+    control.table.put(row("b"))
+    watch(followed, control, 0.0)
+    later = GATEWAY_LIFETIME + 1.0
+    control.table.put(row("b", now=later, state="draining"))
+    reply = watch(followed, control, later)
+    assert reply.directory_dropped == ["a/1"] and reply.directory is None
+    assert [r.identity for r in followed.rows] == ["b/1"]
+
+
+def test_other_daemon_tells_the_whole_once():
+    first, second, followed = Control(), Control(), FollowedDirectory()
+    for control in (first, second):
+        control.table.put(row("a"))
+    watch(followed, first, 0.0)
+    second.table.put(row("b"))
+    first.table.put(row("c"))
+    assert first.table.version == second.table.version
+    followed.turn()
+    assert len(watch(followed, second, 0.0).directory) == 2
+    assert watch(followed, second, 0.0).directory is None
+    assert essentials(followed.rows) == essentials(second.table.live(0.0))
+
+
+def test_watch_that_timed_out_does_not_make_the_whole_be_sent_again():
+    control, followed = Control(), FollowedDirectory()
+    control.table.put(row("a"))
+    watch(followed, control, 0.0)
+    followed.turn()
+    control.table.put(row("b"))
+    assert watch(followed, control, 0.0).directory is None
+    assert essentials(followed.rows) == essentials(control.table.live(0.0))
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda reply: setattr(reply, "directory_dropped", []),
+        lambda reply: setattr(reply, "directory_changed", []),
+        lambda reply: setattr(reply, "directory_base", reply.directory_base - 1),
+        lambda reply: setattr(reply, "directory_epoch", "of another life"),
+        lambda reply: setattr(reply, "directory_check", None),
+    ],
+)
+def test_changes_that_do_not_fit_are_refused_and_the_whole_asked_for(spoil):
+    control, followed = Control(), FollowedDirectory()
+    control.table.put(row("a"))
+    control.table.put(row("b"))
+    watch(followed, control, 0.0)
+    control.table.put(row("a", life=2, now=1.0))
+    reply = decode(WatchReply, control.answer(ask(followed), 1.0))
+    spoil(reply)
+    before = essentials(followed.rows)
+    followed.take(reply, 1.0)
+    assert essentials(followed.rows) == before
+    assert watch(followed, control, 1.0).directory is not None
+    assert essentials(followed.rows) == essentials(control.table.live(1.0))
+
+
+_put = st.tuples(
+    st.just("put"),
+    st.integers(0, _INSTANCES - 1),
+    st.integers(1, _LIVES),
+    st.sampled_from(["serving", "draining"]),
+    st.sampled_from([(), ("t@1",)]),
+)
+_step = st.one_of(
+    _put,
+    _put,
+    _put,
+    st.tuples(st.just("wait"), st.sampled_from([0.3, 1.0, GATEWAY_LIFETIME + 0.5])),
+    st.tuples(st.just("watch")),
+    st.tuples(st.just("watch")),
+    st.tuples(st.just("watch")),
+    st.tuples(st.just("lose a reply")),
+    st.tuples(st.just("take an old reply"), st.integers(0, 5)),
+    st.tuples(st.just("restart the daemon"), st.integers(0, 1)),
+    st.tuples(st.just("turn")),
+    st.tuples(
+        st.just("forget nothing and ask without"),
+    ),
+)
+
+
+class Play:
+    """Play one random sequence with two control daemons and one gateway."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.controls = [Control(), Control()]
+        self.followed = FollowedDirectory()
+        self.position = 0
+        self.replies: list[bytes] = []
+        self.is_sure = True
+
+    def play(self, step):
+        act, *words = step
+        getattr(self, "_" + act.replace(" ", "_"))(*words)
+
+    def _put(self, number, life, state, leaving):
+        for control in self.controls:
+            control.table.put(row(f"g{number}", life, self.now, state, leaving, 10.0 * life))
+
+    def _wait(self, seconds):
+        self.now += seconds
+
+    def _watch(self):
+        self._reply(with_directory=True)
+        self.followed.take(decode(WatchReply, self.replies[-1]), self.now)
+        if self.is_sure:
+            # Taken in order nothing is refused: what was told is right without the checksum's help.
+            assert self.followed._version == self.controls[self.position % 2].table.version
+            self.check()
+        # A reply out of its time may have been refused or taken; from now on all is in order.
+        self.is_sure = True
+
+    def _lose_a_reply(self):
+        self._reply(with_directory=True)
+
+    def _take_an_old_reply(self, back):
+        if back < len(self.replies):
+            self.followed.take(decode(WatchReply, self.replies[-1 - back]), self.now)
+            self.is_sure = False
+
+    def _restart_the_daemon(self, which):
+        self.controls[which] = Control()
+
+    def _turn(self):
+        self.position += 1
+        self.followed.turn()
+
+    def _forget_nothing_and_ask_without(self):
+        before = list(self.followed.rows)
+        reply = decode(WatchReply, self._reply(with_directory=False))
+        self.followed.take(reply, self.now)
+        assert reply.directory is None and reply.directory_base is None
+        assert self.followed.rows == before
+
+    def _reply(self, with_directory):
+        control = self.controls[self.position % 2]
+        self.replies.append(control.answer(ask(self.followed, with_directory), self.now))
+        return self.replies[-1]
+
+    def check(self):
+        # A row that fell silent meanwhile is told as dropped once the table has dropped it.
+        control = self.controls[self.position % 2]
+        held = sorted(control.table._rows.values(), key=lambda r: r.identity)
+        assert essentials(self.followed.rows) == essentials(held)
+        started = [r.started_at for r in held]
+        assert [r.started_at for r in self.followed.rows] == pytest.approx(started)
+
+
+@settings(max_examples=_SEQUENCES, derandomize=True, deadline=None)
+@given(st.lists(_step, min_size=20, max_size=80))
+def test_any_sequence_of_changes_leads_to_what_the_daemon_lists(steps):
+    play = Play()
+    for step in steps:
+        play.play(step)
+    # Whatever went before, two watches in order are enough.
+    play.play(("watch",))
+    play.play(("watch",))
+    play.check()
+
+
+def test_old_daemon_that_counts_the_same_number_tells_the_whole():
+    """An old daemon compares bare numbers: those of a daemon with a life are not given to it."""
+    control, old, followed = Control(), OldControl(), FollowedDirectory()
+    control.table.put(row("a"))
+    watch(followed, control, 0.0)
+    old.table.put(row("b"))
+    assert old.table.version == control.table.version
+    followed.turn()
+    watch(followed, old, 0.0)
+    assert essentials(followed.rows) == essentials(old.table.live(0.0))
+    assert watch(followed, old, 0.0).directory is None
+    old.table.put(row("c"))
+    assert len(watch(followed, old, 0.0).directory) == 2
+    followed.turn()
+    control.table.put(row("d"))
+    assert len(watch(followed, control, 0.0).directory) == 2
+    assert essentials(followed.rows) == essentials(control.table.live(0.0))
+
+
+def test_old_gateway_gets_the_whole_from_a_new_daemon_as_before():
+    control = Control()
+    control.table.put(row("a"))
+
+    def ask_as_old(version):
+        request = encode(WatchRequest(directory_version=version))
+        return as_old_reply(control.answer(request, 0.0))
+
+    first = ask_as_old(0)
+    assert [r.identity for r in first.directory] == ["a/1"]
+    assert ask_as_old(first.directory_version).directory is None
+    control.table.put(row("b"))
+    second = ask_as_old(first.directory_version)
+    assert [r.identity for r in second.directory] == ["a/1", "b/1"]
+    assert second.directory_version == control.table.version
+
+
+class _Link:
+    def __init__(self, control):
+        self._control = control
+
+    def link(self, address):
+        return self
+
+    async def call(self, request, timeout):
+        self.request = request
+        return decode(WatchReply, self._control.answer(encode(request), 0.0))
+
+
+@pytest.mark.parametrize("control", [Control(), OldControl()], ids=["new", "old"])
+def test_revision_is_fetched_without_the_directory(control):
+    """At each new revision every gateway fetches it from whoever tells of it first."""
+    control.table.put(row("a"))
+    link = _Link(control)
+    follower = ConfigurationFollower(link, [], [], GatewayRecord)
+    asyncio.run(follower.take_from("any"))
+    assert link.request.without_directory
+    assert follower.directory == []
+    assert watch(follower._directory, control, 0.0).directory is not None
--- a/tests/support/directory_site.py
+++ b/tests/support/directory_site.py
@@ -1,4 +1,4 @@
-"""A site of gateways that watch one control daemon in this process, to count what the directory costs.
+"""A site of gateways that watch one control daemon, to count what the directory costs them.
 
 The gateways are the product's own followers and the daemon is the product's own
 `Subscribers`; between them every message is encoded and decoded, but no socket
@@ -105,7 +105,7 @@
         self._site.control_seconds += time.perf_counter() - began
         self.reply_bytes += len(body)
         self.directory_bytes += len(body) - len(encode(_without_directory(reply)))
-        self.news += reply.directory_version != request.directory_version
+        self.news += reply.directory is not None or reply.directory_base is not None
         return decode(WatchReply, body)
 
     def _describe(self):
--- a/traystall/control/subscribers.py
+++ b/traystall/control/subscribers.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 
+from traystall.control.directory import DirectoryNews
 from traystall.control.node import Node
 from traystall.core import clock
 from traystall.core.exceptions import RpcError
@@ -37,20 +38,26 @@
         self._node = node
         self._links = links
         self._address = address
+        self._directory = DirectoryNews(self.table)
+        # Set by whatever is new, and by what isn't gathered: all but the directory.
         self._changed = asyncio.Event()
-        self._served_version = self.table.version
+        self._urgent = asyncio.Event()
         node.on_applied.append(self._wake)
 
     async def watch(self, request: WatchRequest) -> WatchReply:
         """Return what is new to a gateway, waiting a while if nothing is."""
         if request.gateway.state != OPERATOR_STATE:
             self._note(request.gateway, direct=True)
-        deadline = clock.monotonic() + WATCH_HOLD
-        while not self._has_news(request):
-            left = deadline - clock.monotonic()
-            if left <= 0 or request.directory_version != self.table.version:
+        now = clock.monotonic()
+        deadline, gathered_at = now + WATCH_HOLD, self._directory.gathered_at(request, now)
+        while now < deadline and not self._has_news(request):
+            if now < gathered_at:
+                await self._wait(self._urgent, gathered_at - now)
+            elif self._directory.is_news(request):
                 break
-            await self._wait(left)
+            else:
+                await self._wait(self._changed, deadline - now)
+            now = clock.monotonic()
         return self._reply(request)
 
     def exchange(self, request: DigestRequest) -> DigestReply:
@@ -101,12 +108,10 @@
             base=request.digest,
             puts={},
             deletes=[],
-            directory_version=self.table.version,
             fresh=self._node.is_fresh(),
             evacuated=to_wire(self._node.state.evacuations.places),
         )
-        if request.directory_version != self.table.version:
-            reply.directory = self.records()
+        self._directory.tell(reply, request, clock.monotonic())
         if request.gateway.number > catalog.number:
             return reply
         delta = catalog.delta_since(request.digest)
@@ -118,14 +123,19 @@
             reply.deletes = delta.deletes
         return reply
 
-    async def _wait(self, seconds):
-        changed = self._changed
+    async def _wait(self, event, seconds):
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
-                await changed.wait()
+                await event.wait()
 
     def _wake(self):
         """Wake every watch that waits; later ones wait on a new event."""
+        urgent, self._urgent = self._urgent, asyncio.Event()
+        urgent.set()
+        self._wake_gathered()
+
+    def _wake_gathered(self):
+        """Wake the watches that news of the directory alone may answer by now."""
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
@@ -134,4 +144,4 @@
         version = self.table.version
         self.table.put(to_row(record, now - (record.age or 0.0), direct))
         if self.table.version != version:
-            self._wake()
+            self._wake_gathered()
--- a/traystall/gateway/configuration.py
+++ b/traystall/gateway/configuration.py
@@ -9,9 +9,9 @@
 from traystall.core.exceptions import DeltaMismatch, RpcError
 from traystall.core.logs import decision
 from traystall.evacuations.held import HeldEvacuations, to_wire
+from traystall.gateway.directory import FollowedDirectory
 from traystall.rpc.client import LinkPool
 from traystall.rpc.gen.wire.ttypes import GatewayRecord, WatchReply, WatchRequest
-from traystall.rpc.records import to_row
 from traystall.tables.configuration import ConfigurationTables
 from traystall.tables.gateways import GatewayRow
 
@@ -81,13 +81,17 @@
     ):
         self.held = HeldRevision()
         self.evacuations = HeldEvacuations()
-        self.directory: list[GatewayRow] = []
         self.on_change: list[Callable[[], None]] = []
         self._links = links
         self._controls = controls
         self._neighbours = neighbours
         self._describe = describe
-        self._directory_version = 0
+        self._directory = FollowedDirectory()
+
+    @property
+    def directory(self) -> list[GatewayRow]:
+        """Return the gateways as they were last told of."""
+        return self._directory.rows
 
     async def take_highest(self) -> None:
         """Take the highest revision among all that can be reached; done once at the start.
@@ -122,13 +126,15 @@
                 self._take(reply)
             if reply is None or not reply.fresh:
                 position += 1
-                self._directory_version = 0
+                self._directory.turn()
                 await asyncio.sleep(_RETRY_SECONDS)
 
     async def take_from(self, address: str) -> None:
         """Take the revision of one control daemon that is known to have a newer one."""
-        reply = await self._ask(address, _FIRST_TIMEOUT)
+        reply = await self._ask(address, _FIRST_TIMEOUT, with_directory=False)
         if reply is not None:
+            # A daemon that can't be asked without sends it; its versions are not those followed.
+            reply.directory = None
             self._take(reply)
 
     def answer_watch(self, request: WatchRequest) -> WatchReply:
@@ -146,12 +152,9 @@
             evacuated=to_wire(self.evacuations.places),
         )
 
-    async def _ask(self, address, timeout):
-        request = WatchRequest(
-            gateway=self._describe(),
-            digest=self.held.digest,
-            directory_version=self._directory_version,
-        )
+    async def _ask(self, address, timeout, with_directory=True):
+        request = WatchRequest(gateway=self._describe(), digest=self.held.digest)
+        self._directory.describe_base(request, with_directory)
         try:
             return await self._links.link(address).call(request, timeout)
         except RpcError as error:
@@ -159,7 +162,8 @@
             return None
 
     def _take(self, reply) -> bool:
-        self._take_directory(reply)
+        if self._directory.take(reply, clock.monotonic()):
+            self._notify()
         evacuations_moved = self.evacuations.take(reply.evacuated)
         try:
             moved = self.held.take(reply)
@@ -176,24 +180,6 @@
             self._notify()
         return moved
 
-    def _take_directory(self, reply):
-        """Replace the directory; it is kept as it was while no control daemon answers."""
-        if reply.directory is None or not reply.directory_version:
-            return
-        before = _essentials(self.directory)
-        now = clock.monotonic()
-        self.directory = [
-            to_row(record, now - (record.age or 0.0), direct=False) for record in reply.directory
-        ]
-        self._directory_version = reply.directory_version
-        if before != _essentials(self.directory):
-            self._notify()
-
     def _notify(self):
         for callback in self.on_change:
             callback()
-
-
-def _essentials(directory):
-    """Return what of the directory decisions depend on."""
-    return [(row.identity, row.state, row.leaving) for row in directory]
--- a/traystall/rpc/gen/wire/ttypes.py
+++ b/traystall/rpc/gen/wire/ttypes.py
@@ -2784,6 +2784,9 @@
      - gateway
      - digest
      - directory_version
+     - directory_epoch
+     - directory_known
+     - without_directory
 
     """
 
@@ -2791,13 +2794,19 @@
         'gateway',
         'digest',
         'directory_version',
+        'directory_epoch',
+        'directory_known',
+        'without_directory',
     )
 
 
-    def __init__(self, gateway=None, digest=None, directory_version=None,):
+    def __init__(self, gateway=None, digest=None, directory_version=None, directory_epoch=None, directory_known=None, without_directory=None,):
         self.gateway = gateway
         self.digest = digest
         self.directory_version = directory_version
+        self.directory_epoch = directory_epoch
+        self.directory_known = directory_known
+        self.without_directory = without_directory
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2824,6 +2833,21 @@
                     self.directory_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.directory_epoch = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.directory_known = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.without_directory = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2846,6 +2870,18 @@
             oprot.writeFieldBegin('directory_version', TType.I64, 3)
             oprot.writeI64(self.directory_version)
             oprot.writeFieldEnd()
+        if self.directory_epoch is not None:
+            oprot.writeFieldBegin('directory_epoch', TType.STRING, 10)
+            oprot.writeString(self.directory_epoch.encode('utf-8') if sys.version_info[0] == 2 else self.directory_epoch)
+            oprot.writeFieldEnd()
+        if self.directory_known is not None:
+            oprot.writeFieldBegin('directory_known', TType.I64, 11)
+            oprot.writeI64(self.directory_known)
+            oprot.writeFieldEnd()
+        if self.without_directory is not None:
+            oprot.writeFieldBegin('without_directory', TType.BOOL, 12)
+            oprot.writeBool(self.without_directory)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2972,6 +3008,11 @@
      - directory
      - fresh
      - evacuated
+     - directory_epoch
+     - directory_base
+     - directory_changed
+     - directory_dropped
+     - directory_check
 
     """
 
@@ -2986,10 +3027,15 @@
         'directory',
         'fresh',
         'evacuated',
+        'directory_epoch',
+        'directory_base',
+        'directory_changed',
+        'directory_dropped',
+        'directory_check',
     )
 
 
-    def __init__(self, number=None, digest=None, full=None, base=None, puts=None, deletes=None, directory_version=None, directory=None, fresh=None, evacuated=None,):
+    def __init__(self, number=None, digest=None, full=None, base=None, puts=None, deletes=None, directory_version=None, directory=None, fresh=None, evacuated=None, directory_epoch=None, directory_base=None, directory_changed=None, directory_dropped=None, directory_check=None,):
         self.number = number
         self.digest = digest
         self.full = full
@@ -3000,6 +3046,11 @@
         self.directory = directory
         self.fresh = fresh
         self.evacuated = evacuated
+        self.directory_epoch = directory_epoch
+        self.directory_base = directory_base
+        self.directory_changed = directory_changed
+        self.directory_dropped = directory_dropped
+        self.directory_check = directory_check
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3078,6 +3129,42 @@
                     self.evacuated.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRING:
+                    self.directory_epoch = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I64:
+                    self.directory_base = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.LIST:
+                    self.directory_changed = []
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = GatewayRecord()
+                        _elem77.read(iprot)
+                        self.directory_changed.append(_elem77)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.LIST:
+                    self.directory_dropped = []
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.directory_dropped.append(_elem83)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.I64:
+                    self.directory_check = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3107,16 +3194,16 @@
         if self.puts is not None:
             oprot.writeFieldBegin('puts', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.puts))
-            for kiter72, viter73 in self.puts.items():
-                oprot.writeString(kiter72.encode('utf-8') if sys.version_info[0] == 2 else kiter72)
-                oprot.writeBinary(viter73)
+            for kiter84, viter85 in self.puts.items():
+                oprot.writeString(kiter84.encode('utf-8') if sys.version_info[0] == 2 else kiter84)
+                oprot.writeBinary(viter85)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.deletes is not None:
             oprot.writeFieldBegin('deletes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.deletes))
-            for iter74 in self.deletes:
-                oprot.writeString(iter74.encode('utf-8') if sys.version_info[0] == 2 else iter74)
+            for iter86 in self.deletes:
+                oprot.writeString(iter86.encode('utf-8') if sys.version_info[0] == 2 else iter86)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.directory_version is not None:
@@ -3126,8 +3213,8 @@
         if self.directory is not None:
             oprot.writeFieldBegin('directory', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.directory))
-            for iter75 in self.directory:
-                iter75.write(oprot)
+            for iter87 in self.directory:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.fresh is not None:
@@ -3138,6 +3225,32 @@
             oprot.writeFieldBegin('evacuated', TType.STRUCT, 10)
             self.evacuated.write(oprot)
             oprot.writeFieldEnd()
+        if self.directory_epoch is not None:
+            oprot.writeFieldBegin('directory_epoch', TType.STRING, 20)
+            oprot.writeString(self.directory_epoch.encode('utf-8') if sys.version_info[0] == 2 else self.directory_epoch)
+            oprot.writeFieldEnd()
+        if self.directory_base is not None:
+            oprot.writeFieldBegin('directory_base', TType.I64, 21)
+            oprot.writeI64(self.directory_base)
+            oprot.writeFieldEnd()
+        if self.directory_changed is not None:
+            oprot.writeFieldBegin('directory_changed', TType.LIST, 22)
+            oprot.writeListBegin(TType.STRUCT, len(self.directory_changed))
+            for iter88 in self.directory_changed:
+                iter88.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.directory_dropped is not None:
+            oprot.writeFieldBegin('directory_dropped', TType.LIST, 23)
+            oprot.writeListBegin(TType.STRING, len(self.directory_dropped))
+            for iter89 in self.directory_dropped:
+                oprot.writeString(iter89.encode('utf-8') if sys.version_info[0] == 2 else iter89)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.directory_check is not None:
+            oprot.writeFieldBegin('directory_check', TType.I64, 24)
+            oprot.writeI64(self.directory_check)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3198,11 +3311,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gateways = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = GatewayRecord()
-                        _elem81.read(iprot)
-                        self.gateways.append(_elem81)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = GatewayRecord()
+                        _elem95.read(iprot)
+                        self.gateways.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3223,8 +3336,8 @@
         if self.gateways is not None:
             oprot.writeFieldBegin('gateways', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gateways))
-            for iter82 in self.gateways:
-                iter82.write(oprot)
+            for iter96 in self.gateways:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3279,11 +3392,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.gateways = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = GatewayRecord()
-                        _elem88.read(iprot)
-                        self.gateways.append(_elem88)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = GatewayRecord()
+                        _elem102.read(iprot)
+                        self.gateways.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3300,8 +3413,8 @@
         if self.gateways is not None:
             oprot.writeFieldBegin('gateways', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.gateways))
-            for iter89 in self.gateways:
-                iter89.write(oprot)
+            for iter103 in self.gateways:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3594,22 +3707,22 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.gateways = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = GatewayRecord()
-                        _elem95.read(iprot)
-                        self.gateways.append(_elem95)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = GatewayRecord()
+                        _elem109.read(iprot)
+                        self.gateways.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype99, _size96) = iprot.readListBegin()
-                    for _i100 in range(_size96):
-                        _elem101 = Member()
-                        _elem101.read(iprot)
-                        self.members.append(_elem101)
+                    (_etype113, _size110) = iprot.readListBegin()
+                    for _i114 in range(_size110):
+                        _elem115 = Member()
+                        _elem115.read(iprot)
+                        self.members.append(_elem115)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3621,10 +3734,10 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.doubtful = []
-                    (_etype105, _size102) = iprot.readListBegin()
-                    for _i106 in range(_size102):
-                        _elem107 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.doubtful.append(_elem107)
+                    (_etype119, _size116) = iprot.readListBegin()
+                    for _i120 in range(_size116):
+                        _elem121 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.doubtful.append(_elem121)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3641,11 +3754,11 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.evacuations = []
-                    (_etype111, _size108) = iprot.readListBegin()
-                    for _i112 in range(_size108):
-                        _elem113 = EvacuationRecord()
-                        _elem113.read(iprot)
-                        self.evacuations.append(_elem113)
+                    (_etype125, _size122) = iprot.readListBegin()
+                    for _i126 in range(_size122):
+                        _elem127 = EvacuationRecord()
+                        _elem127.read(iprot)
+                        self.evacuations.append(_elem127)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3686,15 +3799,15 @@
         if self.gateways is not None:
             oprot.writeFieldBegin('gateways', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.gateways))
-            for iter114 in self.gateways:
-                iter114.write(oprot)
+            for iter128 in self.gateways:
+                iter128.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter115 in self.members:
-                iter115.write(oprot)
+            for iter129 in self.members:
+                iter129.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lease is not None:
@@ -3704,8 +3817,8 @@
         if self.doubtful is not None:
             oprot.writeFieldBegin('doubtful', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.doubtful))
-            for iter116 in self.doubtful:
-                oprot.writeString(iter116.encode('utf-8') if sys.version_info[0] == 2 else iter116)
+            for iter130 in self.doubtful:
+                oprot.writeString(iter130.encode('utf-8') if sys.version_info[0] == 2 else iter130)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.claims is not None:
@@ -3719,8 +3832,8 @@
         if self.evacuations is not None:
             oprot.writeFieldBegin('evacuations', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.evacuations))
-            for iter117 in self.evacuations:
-                iter117.write(oprot)
+            for iter131 in self.evacuations:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4140,10 +4253,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.holders = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.holders.append(_elem123)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.holders.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4180,8 +4293,8 @@
         if self.holders is not None:
             oprot.writeFieldBegin('holders', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.holders))
-            for iter124 in self.holders:
-                oprot.writeString(iter124.encode('utf-8') if sys.version_info[0] == 2 else iter124)
+            for iter138 in self.holders:
+                oprot.writeString(iter138.encode('utf-8') if sys.version_info[0] == 2 else iter138)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4268,10 +4381,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.holders = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.holders.append(_elem130)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.holders.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4304,8 +4417,8 @@
         if self.holders is not None:
             oprot.writeFieldBegin('holders', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.holders))
-            for iter131 in self.holders:
-                oprot.writeString(iter131.encode('utf-8') if sys.version_info[0] == 2 else iter131)
+            for iter145 in self.holders:
+                oprot.writeString(iter145.encode('utf-8') if sys.version_info[0] == 2 else iter145)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5436,33 +5549,33 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = TargetRecord()
-                        _elem137.read(iprot)
-                        self.targets.append(_elem137)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = TargetRecord()
+                        _elem151.read(iprot)
+                        self.targets.append(_elem151)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.ages = {}
-                    (_ktype139, _vtype140, _size138) = iprot.readMapBegin()
-                    for _i142 in range(_size138):
-                        _key143 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val144 = iprot.readDouble()
-                        self.ages[_key143] = _val144
+                    (_ktype153, _vtype154, _size152) = iprot.readMapBegin()
+                    for _i156 in range(_size152):
+                        _key157 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val158 = iprot.readDouble()
+                        self.ages[_key157] = _val158
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype148, _size145) = iprot.readListBegin()
-                    for _i149 in range(_size145):
-                        _elem150 = Member()
-                        _elem150.read(iprot)
-                        self.members.append(_elem150)
+                    (_etype162, _size159) = iprot.readListBegin()
+                    for _i163 in range(_size159):
+                        _elem164 = Member()
+                        _elem164.read(iprot)
+                        self.members.append(_elem164)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5498,23 +5611,23 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter151 in self.targets:
-                iter151.write(oprot)
+            for iter165 in self.targets:
+                iter165.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ages is not None:
             oprot.writeFieldBegin('ages', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.ages))
-            for kiter152, viter153 in self.ages.items():
-                oprot.writeString(kiter152.encode('utf-8') if sys.version_info[0] == 2 else kiter152)
-                oprot.writeDouble(viter153)
+            for kiter166, viter167 in self.ages.items():
+                oprot.writeString(kiter166.encode('utf-8') if sys.version_info[0] == 2 else kiter166)
+                oprot.writeDouble(viter167)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter154 in self.members:
-                iter154.write(oprot)
+            for iter168 in self.members:
+                iter168.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.number is not None:
@@ -5643,10 +5756,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.pieces = []
-                    (_etype158, _size155) = iprot.readListBegin()
-                    for _i159 in range(_size155):
-                        _elem160 = iprot.readI32()
-                        self.pieces.append(_elem160)
+                    (_etype172, _size169) = iprot.readListBegin()
+                    for _i173 in range(_size169):
+                        _elem174 = iprot.readI32()
+                        self.pieces.append(_elem174)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5658,10 +5771,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.inputs = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.inputs.append(_elem166)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.inputs.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5703,10 +5816,10 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.counts = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = iprot.readI32()
-                        self.counts.append(_elem172)
+                    (_etype184, _size181) = iprot.readListBegin()
+                    for _i185 in range(_size181):
+                        _elem186 = iprot.readI32()
+                        self.counts.append(_elem186)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5718,10 +5831,10 @@
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.places = []
-                    (_etype176, _size173) = iprot.readListBegin()
-                    for _i177 in range(_size173):
-                        _elem178 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.places.append(_elem178)
+                    (_etype190, _size187) = iprot.readListBegin()
+                    for _i191 in range(_size187):
+                        _elem192 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.places.append(_elem192)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5760,8 +5873,8 @@
         if self.pieces is not None:
             oprot.writeFieldBegin('pieces', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.pieces))
-            for iter179 in self.pieces:
-                oprot.writeI32(iter179)
+            for iter193 in self.pieces:
+                oprot.writeI32(iter193)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.key is not None:
@@ -5771,8 +5884,8 @@
         if self.inputs is not None:
             oprot.writeFieldBegin('inputs', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.inputs))
-            for iter180 in self.inputs:
-                oprot.writeString(iter180.encode('utf-8') if sys.version_info[0] == 2 else iter180)
+            for iter194 in self.inputs:
+                oprot.writeString(iter194.encode('utf-8') if sys.version_info[0] == 2 else iter194)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.seconds_left is not None:
@@ -5806,8 +5919,8 @@
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.LIST, 14)
             oprot.writeListBegin(TType.I32, len(self.counts))
-            for iter181 in self.counts:
-                oprot.writeI32(iter181)
+            for iter195 in self.counts:
+                oprot.writeI32(iter195)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.mark is not None:
@@ -5817,8 +5930,8 @@
         if self.places is not None:
             oprot.writeFieldBegin('places', TType.LIST, 16)
             oprot.writeListBegin(TType.STRING, len(self.places))
-            for iter182 in self.places:
-                oprot.writeString(iter182.encode('utf-8') if sys.version_info[0] == 2 else iter182)
+            for iter196 in self.places:
+                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refuse_at_once is not None:
@@ -5887,20 +6000,20 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.handles = []
-                    (_etype186, _size183) = iprot.readListBegin()
-                    for _i187 in range(_size183):
-                        _elem188 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.handles.append(_elem188)
+                    (_etype200, _size197) = iprot.readListBegin()
+                    for _i201 in range(_size197):
+                        _elem202 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.handles.append(_elem202)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.reasons = []
-                    (_etype192, _size189) = iprot.readListBegin()
-                    for _i193 in range(_size189):
-                        _elem194 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.reasons.append(_elem194)
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.reasons.append(_elem208)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5922,15 +6035,15 @@
         if self.handles is not None:
             oprot.writeFieldBegin('handles', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.handles))
-            for iter195 in self.handles:
-                oprot.writeString(iter195.encode('utf-8') if sys.version_info[0] == 2 else iter195)
+            for iter209 in self.handles:
+                oprot.writeString(iter209.encode('utf-8') if sys.version_info[0] == 2 else iter209)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reasons is not None:
             oprot.writeFieldBegin('reasons', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.reasons))
-            for iter196 in self.reasons:
-                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
+            for iter210 in self.reasons:
+                oprot.writeString(iter210.encode('utf-8') if sys.version_info[0] == 2 else iter210)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.retry_after is not None:
@@ -6077,10 +6190,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.handles = []
-                    (_etype200, _size197) = iprot.readListBegin()
-                    for _i201 in range(_size197):
-                        _elem202 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.handles.append(_elem202)
+                    (_etype214, _size211) = iprot.readListBegin()
+                    for _i215 in range(_size211):
+                        _elem216 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.handles.append(_elem216)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6101,8 +6214,8 @@
         if self.handles is not None:
             oprot.writeFieldBegin('handles', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.handles))
-            for iter203 in self.handles:
-                oprot.writeString(iter203.encode('utf-8') if sys.version_info[0] == 2 else iter203)
+            for iter217 in self.handles:
+                oprot.writeString(iter217.encode('utf-8') if sys.version_info[0] == 2 else iter217)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6194,20 +6307,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype207, _size204) = iprot.readListBegin()
-                    for _i208 in range(_size204):
-                        _elem209 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.parts.append(_elem209)
+                    (_etype221, _size218) = iprot.readListBegin()
+                    for _i222 in range(_size218):
+                        _elem223 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.append(_elem223)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.sizes = []
-                    (_etype213, _size210) = iprot.readListBegin()
-                    for _i214 in range(_size210):
-                        _elem215 = iprot.readI64()
-                        self.sizes.append(_elem215)
+                    (_etype227, _size224) = iprot.readListBegin()
+                    for _i228 in range(_size224):
+                        _elem229 = iprot.readI64()
+                        self.sizes.append(_elem229)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6229,10 +6342,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype219, _size216) = iprot.readListBegin()
-                    for _i220 in range(_size216):
-                        _elem221 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem221)
+                    (_etype233, _size230) = iprot.readListBegin()
+                    for _i234 in range(_size230):
+                        _elem235 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem235)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6244,10 +6357,10 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.places = []
-                    (_etype225, _size222) = iprot.readListBegin()
-                    for _i226 in range(_size222):
-                        _elem227 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.places.append(_elem227)
+                    (_etype239, _size236) = iprot.readListBegin()
+                    for _i240 in range(_size236):
+                        _elem241 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.places.append(_elem241)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6272,15 +6385,15 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iter228 in self.parts:
-                oprot.writeString(iter228.encode('utf-8') if sys.version_info[0] == 2 else iter228)
+            for iter242 in self.parts:
+                oprot.writeString(iter242.encode('utf-8') if sys.version_info[0] == 2 else iter242)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sizes is not None:
             oprot.writeFieldBegin('sizes', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.sizes))
-            for iter229 in self.sizes:
-                oprot.writeI64(iter229)
+            for iter243 in self.sizes:
+                oprot.writeI64(iter243)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tokens is not None:
@@ -6298,8 +6411,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter230 in self.excluded:
-                oprot.writeString(iter230.encode('utf-8') if sys.version_info[0] == 2 else iter230)
+            for iter244 in self.excluded:
+                oprot.writeString(iter244.encode('utf-8') if sys.version_info[0] == 2 else iter244)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.book is not None:
@@ -6309,8 +6422,8 @@
         if self.places is not None:
             oprot.writeFieldBegin('places', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.places))
-            for iter231 in self.places:
-                oprot.writeString(iter231.encode('utf-8') if sys.version_info[0] == 2 else iter231)
+            for iter245 in self.places:
+                oprot.writeString(iter245.encode('utf-8') if sys.version_info[0] == 2 else iter245)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6738,11 +6851,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype235, _size232) = iprot.readListBegin()
-                    for _i236 in range(_size232):
-                        _elem237 = Member()
-                        _elem237.read(iprot)
-                        self.members.append(_elem237)
+                    (_etype249, _size246) = iprot.readListBegin()
+                    for _i250 in range(_size246):
+                        _elem251 = Member()
+                        _elem251.read(iprot)
+                        self.members.append(_elem251)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6763,8 +6876,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter238 in self.members:
-                iter238.write(oprot)
+            for iter252 in self.members:
+                iter252.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6903,11 +7016,11 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.entities = {}
-                    (_ktype240, _vtype241, _size239) = iprot.readMapBegin()
-                    for _i243 in range(_size239):
-                        _key244 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val245 = iprot.readBinary()
-                        self.entities[_key244] = _val245
+                    (_ktype254, _vtype255, _size253) = iprot.readMapBegin()
+                    for _i257 in range(_size253):
+                        _key258 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val259 = iprot.readBinary()
+                        self.entities[_key258] = _val259
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -6932,9 +7045,9 @@
         if self.entities is not None:
             oprot.writeFieldBegin('entities', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.entities))
-            for kiter246, viter247 in self.entities.items():
-                oprot.writeString(kiter246.encode('utf-8') if sys.version_info[0] == 2 else kiter246)
-                oprot.writeBinary(viter247)
+            for kiter260, viter261 in self.entities.items():
+                oprot.writeString(kiter260.encode('utf-8') if sys.version_info[0] == 2 else kiter260)
+                oprot.writeBinary(viter261)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7198,6 +7311,15 @@
     (1, TType.STRUCT, 'gateway', [GatewayRecord, None], None, ),  # 1
     (2, TType.STRING, 'digest', 'BINARY', None, ),  # 2
     (3, TType.I64, 'directory_version', None, None, ),  # 3
+    None,  # 4
+    None,  # 5
+    None,  # 6
+    None,  # 7
+    None,  # 8
+    None,  # 9
+    (10, TType.STRING, 'directory_epoch', 'UTF8', None, ),  # 10
+    (11, TType.I64, 'directory_known', None, None, ),  # 11
+    (12, TType.BOOL, 'without_directory', None, None, ),  # 12
 )
 all_structs.append(Evacuated)
 Evacuated.thrift_spec = (
@@ -7218,6 +7340,20 @@
     (8, TType.LIST, 'directory', (TType.STRUCT, [GatewayRecord, None], False), None, ),  # 8
     (9, TType.BOOL, 'fresh', None, None, ),  # 9
     (10, TType.STRUCT, 'evacuated', [Evacuated, None], None, ),  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.STRING, 'directory_epoch', 'UTF8', None, ),  # 20
+    (21, TType.I64, 'directory_base', None, None, ),  # 21
+    (22, TType.LIST, 'directory_changed', (TType.STRUCT, [GatewayRecord, None], False), None, ),  # 22
+    (23, TType.LIST, 'directory_dropped', (TType.STRING, 'UTF8', False), None, ),  # 23
+    (24, TType.I64, 'directory_check', None, None, ),  # 24
 )
 all_structs.append(DigestRequest)
 DigestRequest.thrift_spec = (
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -121,7 +121,14 @@
   // The version of the evacuations that it obeys.
   11: i64 evacuation_version
 }
-struct WatchRequest { 1: GatewayRecord gateway, 2: binary digest, 3: i64 directory_version }
+struct WatchRequest {
+  1: GatewayRecord gateway, 2: binary digest, 3: i64 directory_version
+  // The version known of the directory and the life of the control daemon that told it. A daemon
+  // that doesn't know these fields goes by `directory_version`, and sends the whole.
+  10: string directory_epoch, 11: i64 directory_known
+  // Whether only the configuration is asked for, whatever is new in the directory.
+  12: bool without_directory
+}
 // What is evacuated at a version; a higher version replaces all of a lower one.
 struct Evacuated { 1: i64 version, 2: list<string> data_centres }
 struct WatchReply {
@@ -129,6 +136,11 @@
   5: map<string, binary> puts, 6: list<string> deletes
   7: i64 directory_version, 8: list<GatewayRecord> directory, 9: bool fresh
   10: Evacuated evacuated
+  // The directory either whole in field 8, or as what changed since `directory_base` of this life
+  // of the control daemon, with a check of what must be listed once that is applied.
+  20: string directory_epoch, 21: i64 directory_base
+  22: list<GatewayRecord> directory_changed, 23: list<string> directory_dropped
+  24: i64 directory_check
 }
 struct DigestRequest { 1: string sender, 2: list<GatewayRecord> gateways }
 struct DigestReply { 1: list<GatewayRecord> gateways }
--- a/traystall/tables/gateways.py
+++ b/traystall/tables/gateways.py
@@ -1,7 +1,12 @@
 """The directory of gateways: who serves where, with which revision, seen how long ago."""
 
+import zlib
+from collections.abc import Iterable
+
 import msgspec
 
+from traystall.tables.changes import REMEMBERED_DROPS, ChangeLog
+
 # A gateway not seen for this many seconds is no longer counted as live.
 GATEWAY_LIFETIME = 5.0
 
@@ -26,12 +31,31 @@
     evacuation_version: int = 0
 
 
+class DirectoryDelta(msgspec.Struct, frozen=True):
+    """Hold the rows that changed since a version, and the identities that are dropped."""
+
+    changed: list[GatewayRow]
+    dropped: list[str]
+
+
+def directory_check(rows: Iterable[GatewayRow]) -> int:
+    """Return a checksum of what decisions depend on, the same in any order of the rows."""
+    lines = sorted(f"{row.identity} {row.state} {' '.join(row.leaving)}\n" for row in rows)
+    return zlib.crc32("".join(lines).encode())
+
+
 class GatewayTable:
     """Hold gateways by identity; `version` grows when what a neighbour must know changes."""
 
-    def __init__(self):
-        self.version = 1
+    def __init__(self, remembered_drops: int = REMEMBERED_DROPS):
+        self._changes = ChangeLog(remembered_drops)
         self._rows: dict[str, GatewayRow] = {}
+        self._checked = (0, 0)
+
+    @property
+    def version(self) -> int:
+        """Return the version of what neighbours must know."""
+        return self._changes.version
 
     def put(self, row: GatewayRow) -> None:
         """Store a row unless a newer sign of the same gateway is held."""
@@ -43,19 +67,41 @@
             row.evacuation_version = max(row.evacuation_version, old.evacuation_version)
         self._drop_predecessors(row)
         if old is None or _public(old) != _public(row):
-            self.version += 1
+            self._changes.change(row.identity)
         self._rows[row.identity] = row
 
     def live(self, now: float) -> list[GatewayRow]:
         """Return the gateways seen lately, in the order of their names."""
-        self._expire(now)
+        self.expire(now)
         return sorted(self._rows.values(), key=lambda row: row.identity)
 
     def is_live(self, identity: str, now: float) -> bool:
         """Return whether the gateway was seen lately."""
-        self._expire(now)
+        self.expire(now)
         return identity in self._rows
 
+    def since(self, version: int) -> DirectoryDelta | None:
+        """Return what changed after `version`, or None if only the whole can tell."""
+        found = self._changes.since(version)
+        if found is None:
+            return None
+        changed, dropped = found
+        return DirectoryDelta([self._rows[identity] for identity in changed], dropped)
+
+    def check(self) -> int:
+        """Return the checksum of the rows that are held."""
+        version, check = self._checked
+        if version != self.version:
+            check = directory_check(self._rows.values())
+            self._checked = (self.version, check)
+        return check
+
+    def expire(self, now: float) -> None:
+        """Drop the gateways that have been silent too long."""
+        gone = [row for row in self._rows.values() if now - row.seen_at > GATEWAY_LIFETIME]
+        for row in gone:
+            self._drop(row.identity)
+
     def _drop_predecessors(self, row):
         """Forget older incarnations of the same instance."""
         stale = [
@@ -66,14 +112,11 @@
             and other.seen_at < row.seen_at
         ]
         for identity in stale:
-            del self._rows[identity]
-            self.version += 1
+            self._drop(identity)
 
-    def _expire(self, now):
-        gone = [row for row in self._rows.values() if now - row.seen_at > GATEWAY_LIFETIME]
-        for row in gone:
-            del self._rows[row.identity]
-            self.version += 1
+    def _drop(self, identity):
+        del self._rows[identity]
+        self._changes.drop(identity)
 
 
 def _public(row):
