--- a/tests/gateway/test_transfer.py
+++ b/tests/gateway/test_transfer.py
@@ -31,7 +31,7 @@
         self.sent = 0
 
     def offer(self, number=1):
-        reply = WatchReply(number=number, digest=entities_digest(self.entities), fresh=True)
+        reply = WatchReply(number=number, digest=entities_digest(self.entities), base=EMPTY_DIGEST)
         request = WatchRequest(digest=EMPTY_DIGEST, inline_bytes=1024)
         self.copies.fill(reply, request)
         return reply
@@ -66,7 +66,7 @@
     async def play():
         fetcher = CopyFetcher(sources, "g")
         reply = sources.link(first).offer()
-        return await fetcher.fetch(first, EMPTY_DIGEST, reply, list(others)), fetcher, reply
+        return await fetcher.fetch(first, reply, list(others)), fetcher, reply
 
     return asyncio.run(play())
 
@@ -101,9 +101,9 @@
 
     async def play():
         fetcher = CopyFetcher(sources, "g")
-        assert await fetcher.fetch("a", EMPTY_DIGEST, dead.offer(), []) is None
+        assert await fetcher.fetch("a", dead.offer(), []) is None
         assert fetcher.number == 0
-        return await fetcher.fetch("b", EMPTY_DIGEST, sources.link("b").offer(), [])
+        return await fetcher.fetch("b", sources.link("b").offer(), [])
 
     copy = asyncio.run(play())
     assert copy.puts == entities
@@ -118,8 +118,8 @@
 
     async def play():
         fetcher = CopyFetcher(sources, "g")
-        await fetcher.fetch("a", EMPTY_DIGEST, sources.link("a").offer(), ["b"])
-        return await fetcher.fetch("b", EMPTY_DIGEST, sources.link("b").offer(2), [])
+        await fetcher.fetch("a", sources.link("a").offer(), ["b"])
+        return await fetcher.fetch("b", sources.link("b").offer(2), [])
 
     assert asyncio.run(play()).puts["more"] == b"1"
 
@@ -139,9 +139,9 @@
 
     async def play():
         fetcher = CopyFetcher(sources, "g")
-        assert await fetcher.fetch("a", EMPTY_DIGEST, source.offer(), []) is None
+        assert await fetcher.fetch("a", source.offer(), []) is None
         source.copies.chunk = chunk
-        return await fetcher.fetch("a", EMPTY_DIGEST, source.offer(), [])
+        return await fetcher.fetch("a", source.offer(), [])
 
     assert asyncio.run(play()).puts == entities
 
@@ -163,9 +163,9 @@
 
     async def play():
         fetcher = CopyFetcher(sources, "g")
-        first = asyncio.create_task(fetcher.fetch("a", EMPTY_DIGEST, silent.offer(), []))
+        first = asyncio.create_task(fetcher.fetch("a", silent.offer(), []))
         await asyncio.sleep(0.02)
-        second = await fetcher.fetch("b", EMPTY_DIGEST, sources.link("b").offer(), [])
+        second = await fetcher.fetch("b", sources.link("b").offer(), [])
         return await first, second
 
     first, second = asyncio.run(play())
--- a/traystall/control/subscribers.py
+++ b/traystall/control/subscribers.py
@@ -5,6 +5,7 @@
 import logging
 
 from traystall.catalog.transfers import RevisionCopy, delta_copy, full_copy
+from traystall.control.directory import DirectoryNews
 from traystall.control.node import Node
 from traystall.core import clock
 from traystall.core.exceptions import RpcError
@@ -41,8 +42,10 @@
         self._node = node
         self._links = links
         self._address = address
+        self._directory = DirectoryNews(self.table)
+        # Set by whatever is new, and by what isn't gathered: all but the directory.
         self._changed = asyncio.Event()
-        self._served_version = self.table.version
+        self._urgent = asyncio.Event()
         self._copies = CopySource(self._copy_from)
         node.on_applied.append(self._wake)
 
@@ -50,12 +53,16 @@
         """Return what is new to a gateway, waiting a while if nothing is."""
         if request.gateway.state != OPERATOR_STATE:
             self._note(request.gateway, direct=True)
-        deadline = clock.monotonic() + WATCH_HOLD
-        while not self._has_news(request):
-            left = deadline - clock.monotonic()
-            if left <= 0 or request.directory_version != self.table.version:
+        now = clock.monotonic()
+        deadline, gathered_at = now + WATCH_HOLD, self._directory.gathered_at(request, now)
+        while now < deadline and not self._has_news(request):
+            if now < gathered_at:
+                await self._wait(self._urgent, gathered_at - now)
+            elif self._directory.is_news(request):
                 break
-            await self._wait(left)
+            else:
+                await self._wait(self._changed, deadline - now)
+            now = clock.monotonic()
         return self._reply(request)
 
     async def transfer(self, request: TransferRequest) -> TransferReply:
@@ -110,12 +117,10 @@
             base=request.digest,
             puts={},
             deletes=[],
-            directory_version=self.table.version,
             fresh=self._node.is_fresh(),
             evacuated=to_wire(self._node.state.evacuations.places),
         )
-        if not request.without_directory and request.directory_version != self.table.version:
-            reply.directory = self.records()
+        self._directory.tell(reply, request, clock.monotonic())
         if request.gateway.number <= catalog.number:
             self._copies.fill(reply, request)
         return reply
@@ -127,14 +132,19 @@
             return full_copy(catalog.entities, catalog.digest)
         return delta_copy(delta)
 
-    async def _wait(self, seconds):
-        changed = self._changed
+    async def _wait(self, event, seconds):
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
-                await changed.wait()
+                await event.wait()
 
     def _wake(self):
         """Wake every watch that waits; later ones wait on a new event."""
+        urgent, self._urgent = self._urgent, asyncio.Event()
+        urgent.set()
+        self._wake_gathered()
+
+    def _wake_gathered(self):
+        """Wake the watches that news of the directory alone may answer by now."""
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
@@ -143,4 +153,4 @@
         version = self.table.version
         self.table.put(to_row(record, now - (record.age or 0.0), direct))
         if self.table.version != version:
-            self._wake()
+            self._wake_gathered()
--- a/traystall/gateway/configuration.py
+++ b/traystall/gateway/configuration.py
@@ -10,6 +10,7 @@
 from traystall.core.exceptions import DeltaMismatch, RpcError
 from traystall.core.logs import decision
 from traystall.evacuations.held import HeldEvacuations, to_wire
+from traystall.gateway.directory import FollowedDirectory
 from traystall.gateway.transfer import CopyFetcher
 from traystall.rpc.client import LinkPool
 from traystall.rpc.copies import CopySource, fill_reply
@@ -20,7 +21,6 @@
     WatchReply,
     WatchRequest,
 )
-from traystall.rpc.records import to_row
 from traystall.tables.configuration import ConfigurationTables
 from traystall.tables.gateways import GatewayRow
 
@@ -93,16 +93,22 @@
     ):
         self.held = HeldRevision()
         self.evacuations = HeldEvacuations()
-        self.directory: list[GatewayRow] = []
         self.on_change: list[Callable[[], None]] = []
         self._links = links
         self._controls = controls
         self._neighbours = neighbours
         self._describe = describe
-        self._directory_version = 0
+        self._directory = FollowedDirectory()
+        # Who answered first at the start: watched first, because it is surely there.
+        self._answered = ""
         self._fetcher = CopyFetcher(links, "gateway")
         self._copies = CopySource(lambda base: full_copy(self.held.entities, self.held.digest))
 
+    @property
+    def directory(self) -> list[GatewayRow]:
+        """Return the gateways as they were last told of."""
+        return self._directory.rows
+
     async def take_highest(self) -> None:
         """Take the highest revision among all that can be reached; done once at the start.
 
@@ -118,6 +124,7 @@
                 if reply is not None and reply.number:
                     usable.append((address, reply))
                     if reply.fresh:
+                        self._answered = address
                         break
         finally:
             for task in asked:
@@ -130,14 +137,15 @@
         """Watch the first fresh control daemon, the nearest first; fall back in turn."""
         position = 0
         while True:
-            address = self._controls[position % len(self._controls)]
+            address = self._answered or self._controls[position % len(self._controls)]
+            self._answered = ""
             before = self.held.number
-            reply = await self._ask(address, _WATCH_TIMEOUT, self._directory_version)
+            reply = await self._ask(address, _WATCH_TIMEOUT)
             if reply is not None:
                 await self._take_from(address, reply)
             if reply is None or not reply.fresh or self._is_stuck(before, reply):
                 position += 1
-                self._directory_version = 0
+                self._directory.turn()
                 await asyncio.sleep(_RETRY_SECONDS)
 
     async def take_from(self, address: str) -> None:
@@ -176,16 +184,17 @@
 
         Only who is watched sends the directory: one of 195 gateways is 25 KB from each daemon.
         """
-        return address, await self._ask(address, _FIRST_TIMEOUT, 0, without_directory=True)
+        reply = await self._ask(address, _FIRST_TIMEOUT, with_directory=False)
+        if reply is not None:
+            # A daemon that can't be asked without sends it; its versions are not those followed.
+            reply.directory = None
+        return address, reply
 
-    async def _ask(self, address, timeout, directory_version, without_directory=False):
+    async def _ask(self, address, timeout, with_directory=True):
         request = WatchRequest(
-            gateway=self._describe(),
-            digest=self.held.digest,
-            directory_version=directory_version,
-            inline_bytes=_INLINE_BYTES,
-            without_directory=without_directory,
+            gateway=self._describe(), digest=self.held.digest, inline_bytes=_INLINE_BYTES
         )
+        self._directory.describe_base(request, with_directory)
         try:
             return await self._links.link(address).call(request, timeout)
         except RpcError as error:
@@ -200,7 +209,7 @@
         if reply.number <= self.held.number:
             return False
         others = [known for known in self._controls if known != address]
-        copy = await self._fetcher.fetch(address, self.held.digest, reply, others)
+        copy = await self._fetcher.fetch(address, reply, others)
         if copy is None:
             return False
         fill_reply(reply, copy)
@@ -215,8 +224,8 @@
 
     def _take_beside(self, reply):
         """Take in what a reply tells besides the revision."""
-        self._take_directory(reply)
-        if self.evacuations.take(reply.evacuated):
+        directory_moved = self._directory.take(reply, clock.monotonic())
+        if self.evacuations.take(reply.evacuated) or directory_moved:
             self._notify()
 
     def _take_revision(self, reply) -> bool:
@@ -234,24 +243,6 @@
             self._notify()
         return moved
 
-    def _take_directory(self, reply):
-        """Replace the directory; it is kept as it was while no control daemon answers."""
-        if reply.directory is None or not reply.directory_version:
-            return
-        before = _essentials(self.directory)
-        now = clock.monotonic()
-        self.directory = [
-            to_row(record, now - (record.age or 0.0), direct=False) for record in reply.directory
-        ]
-        self._directory_version = reply.directory_version
-        if before != _essentials(self.directory):
-            self._notify()
-
     def _notify(self):
         for callback in self.on_change:
             callback()
-
-
-def _essentials(directory):
-    """Return what of the directory decisions depend on."""
-    return [(row.identity, row.state, row.leaving) for row in directory]
--- a/traystall/gateway/transfer.py
+++ b/traystall/gateway/transfer.py
@@ -36,7 +36,7 @@
         self.number = 0
 
     async def fetch(
-        self, address: str, base: bytes, reply: WatchReply, others: list[str]
+        self, address: str, reply: WatchReply, others: list[str]
     ) -> RevisionCopy | None:
         """Return what `reply` from `address` offers, or None if it could not be had.
 
@@ -53,18 +53,18 @@
             self._sources = list(dict.fromkeys([address, *others]))
             self.number = reply.number
             try:
-                return await self._fetch(base, reply)
+                return await self._fetch(reply)
             finally:
                 self.number = 0
 
-    async def _fetch(self, base, reply):
+    async def _fetch(self, reply):
         offer = reply.offer
         if self._incoming is None or self._incoming.digest != offer.digest:
             self._incoming = IncomingCopy(offer.digest, offer.size)
         self._pace = ChunkPace()
         began, held = clock.monotonic(), self._incoming.offset
         request = TransferRequest(
-            sender=self._sender, base=base, result=reply.digest, digest=offer.digest
+            sender=self._sender, base=reply.base or b"", result=reply.digest, digest=offer.digest
         )
         failures = await self._pull(request)
         whole = self._incoming.is_whole
--- a/traystall/registry/follower.py
+++ b/traystall/registry/follower.py
@@ -74,7 +74,9 @@
     async def _watch_forever(self, address):
         request = RegistryRequest(sender=self._sender, epoch="", version=0)
         told = 0
+        ages_at = None
         while True:
+            request.ages_told = None if ages_at is None else clock.monotonic() - ages_at
             # A revision that was told is told again when the watch ends, not at once: while one
             # was on its way, each registry's list of ages came ten times a second.
             request.number = max(self.number(), told)
@@ -87,6 +89,8 @@
                 continue
             self.heard_at[address] = clock.monotonic()
             self._take(reply)
+            if reply.ages is not None:
+                ages_at = self.heard_at[address]
             told = reply.number or 0
             self.newest_number = max(self.newest_number, told)
             if told > self.number():
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -126,8 +126,11 @@
   1: GatewayRecord gateway, 2: binary digest, 3: i64 directory_version
   // The most bytes of changed entities that the reply may carry; more is offered. None: any.
   4: i64 inline_bytes
-  // Whether the reply shall not carry the directory.
-  5: bool without_directory
+  // The version known of the directory and the life of the control daemon that told it. A daemon
+  // that doesn't know these fields goes by `directory_version`, and sends the whole.
+  10: string directory_epoch, 11: i64 directory_known
+  // Whether only the configuration is asked for, whatever is new in the directory.
+  12: bool without_directory
 }
 // A packed delta or full copy that is fetched in chunks: its digest and size in bytes.
 struct Offer { 1: binary digest, 2: i64 size }
@@ -140,6 +143,11 @@
   10: Evacuated evacuated
   // In place of puts and deletes, where these are larger than the watcher takes.
   11: Offer offer
+  // The directory either whole in field 8, or as what changed since `directory_base` of this life
+  // of the control daemon, with a check of what must be listed once that is applied.
+  20: string directory_epoch, 21: i64 directory_base
+  22: list<GatewayRecord> directory_changed, 23: list<string> directory_dropped
+  24: i64 directory_check
 }
 // Ask for a part of what was offered. Who does not hold it makes it of base and result again.
 struct TransferRequest {
@@ -200,6 +208,8 @@
 // `number` is the newest revision of the configuration that the watcher holds, or that is known.
 struct RegistryRequest {
   1: string sender, 2: string epoch, 3: i64 version, 4: i64 number, 5: i64 evacuation_version
+  // Seconds since this registry last told its ages; absent, they are told with each reply.
+  10: double ages_told
 }
 struct RegistryReply {
   1: string epoch, 2: i64 version, 3: list<TargetRecord> targets
