--- /dev/null
+++ b/tests/consensus/test_snapshot_transfer.py
@@ -0,0 +1,59 @@
+"""A snapshot over a link slower than a heartbeat: chunks are sent again, replies come twice."""
+
+from tests.consensus.test_replica import TIMING, acknowledge, elect, make_replica
+from traystall.consensus.log import ReplicaLog
+from traystall.consensus.snapshots import SNAPSHOT_CHUNK_BYTES
+from traystall.rpc.gen.wire.ttypes import SnapshotChunk, SnapshotReply
+
+CHUNKS = 40
+# How long a message takes on the slow link, in seconds: a reply comes after some heartbeats.
+LINK_SECONDS = 2.3 * TIMING.heartbeat
+STEP_SECONDS = TIMING.heartbeat / 10
+
+
+def leader_with_snapshot():
+    """Return a leader whose log begins after a snapshot of some chunks, and its time."""
+    leader = elect(make_replica("a/1"), 5.0)
+    acknowledge(leader, "b/1", leader.log.last_index, 5.0)
+    leader.take_ready()
+    leader.applied_index = leader.commit_index
+    leader.compact(leader.commit_index, bytes(CHUNKS * SNAPSHOT_CHUNK_BYTES))
+    leader.progress["c/1"].next_index = 1
+    return leader, 5.0
+
+
+def transfer(lost=lambda count: False):
+    """Return the chunks that a leader sends until an empty follower has its snapshot."""
+    leader, now = leader_with_snapshot()
+    follower = make_replica("c/1", now=-10.0)
+    follower.log = ReplicaLog()
+    follower.commit_index = follower.applied_index = 0
+    on_the_way, sent = [], 0
+    for _ in range(20_000):
+        now += STEP_SECONDS
+        leader.tick(now)
+        acknowledge(leader, "b/1", leader.log.last_index, now, leader._round)
+        for replica, to in ((leader, follower), (follower, leader)):
+            ready = replica.take_ready()
+            messages = [*ready.messages, *ready.messages_after_sync] if ready else []
+            for message in messages:
+                if isinstance(message, SnapshotChunk):
+                    sent += 1
+                if isinstance(message, SnapshotChunk | SnapshotReply) and not lost(sent):
+                    on_the_way.append((now + LINK_SECONDS, to, message))
+        due = [entry for entry in on_the_way if entry[0] <= now]
+        on_the_way = [entry for entry in on_the_way if entry[0] > now]
+        for _, to, message in due:
+            to.receive(message, now)
+        if follower.commit_index >= leader.log.snapshot_index:
+            return sent
+    raise AssertionError(f"The snapshot did not arrive; {sent} chunks were sent.")
+
+
+def test_a_reply_that_comes_twice_starts_no_second_transfer():
+    """Answered by a chunk each time, every resend adds a transfer to those that run."""
+    assert transfer() <= 6 * CHUNKS
+
+
+def test_lost_chunks_and_replies_are_made_up_for():
+    assert transfer(lost=lambda count: count % 5 == 2) <= 10 * CHUNKS
--- a/traystall/consensus/snapshots.py
+++ b/traystall/consensus/snapshots.py
@@ -100,5 +100,8 @@
             self._advance_commit()
             self._after_progress(reply.sender, now)
         elif reply.index == progress.snapshot_index == self.log.snapshot_index:
-            progress.snapshot_offset = reply.offset
-            self._send_chunk(reply.sender, now)
+            # A reply that comes twice brings nothing new. Answered by a chunk each time, every
+            # resend started one more transfer: 356 chunks were sent for 40.
+            if reply.offset != progress.snapshot_offset:
+                progress.snapshot_offset = reply.offset
+                self._send_chunk(reply.sender, now)
