Let the watchers of the slopes follow the directory as gateways do

Cause: they asked with a bare version, as gateways of before do, so that the slopes would have shown the cost of sending the whole. They now use the gateway's own follower of the directory. Run: python -m benchmarks.slopes subscribers, all four sizes end; its figures on this busy machine aren't taken into docs/CAPACITY.md.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -25,6 +25,7 @@
 from traystall.core.exceptions import RpcError
 from traystall.core.serialization import pack
 from traystall.gateway.configuration import HeldRevision
+from traystall.gateway.directory import FollowedDirectory
 from traystall.rpc.client import LinkIdentity, LinkPool
 from traystall.rpc.gen.wire import ttypes
 from traystall.systems import routing
@@ -99,7 +100,7 @@
         self.link = pool.link(address)
         self.held = HeldRevision()
         self.number = number
-        self.version = 0
+        self.directory = FollowedDirectory()
         self.taken_at = {}
 
     async def watch_forever(self):
@@ -115,12 +116,11 @@
                 state="serving",
                 age=0.0,
             )
-            request = ttypes.WatchRequest(
-                gateway=record, digest=self.held.digest, directory_version=self.version
-            )
+            request = ttypes.WatchRequest(gateway=record, digest=self.held.digest)
+            self.directory.describe_base(request)
             with contextlib.suppress(RpcError):
                 reply = await self.link.call(request, 5.0)
-                self.version = reply.directory_version
+                self.directory.take(reply, time.monotonic())
                 if self.held.take(reply):
                     self.taken_at[self.held.number] = time.perf_counter()
 
