--- a/traystall/consensus/snapshots.py
+++ b/traystall/consensus/snapshots.py
@@ -99,9 +99,10 @@
             progress.next_index = max(progress.next_index, reply.index + 1)
             self._advance_commit()
             self._after_progress(reply.sender, now)
-        elif reply.index == progress.snapshot_index == self.log.snapshot_index:
-            # A reply that comes twice brings nothing new. Answered by a chunk each time, every
-            # resend started one more transfer: 356 chunks were sent for 40.
-            if reply.offset != progress.snapshot_offset:
-                progress.snapshot_offset = reply.offset
-                self._send_chunk(reply.sender, now)
+            return
+        current = reply.index == progress.snapshot_index == self.log.snapshot_index
+        # A reply that comes twice brings nothing new. Answered by a chunk each time, every resend
+        # started one more transfer: 356 chunks were sent for 40.
+        if current and reply.offset != progress.snapshot_offset:
+            progress.snapshot_offset = reply.offset
+            self._send_chunk(reply.sender, now)
