--- a/traystall/catalog/transfers.py
+++ b/traystall/catalog/transfers.py
@@ -18,7 +18,7 @@
 # The fastest level: 600 KB of routes become 37 KB in 4 ms, at the highest 33 KB in 7 ms.
 _COMPRESSION_LEVEL = 1
 # How many packed revisions a source keeps: one for each base that gateways still hold.
-KEPT_PACKED = 8
+KEPT_PACKED = 16
 # The largest revision that is unpacked, in bytes, as for frames: a bound against damage.
 _MAX_UNPACKED_BYTES = 64 * 1024 * 1024
 
--- a/traystall/consensus/progress.py
+++ b/traystall/consensus/progress.py
@@ -15,6 +15,9 @@
     snapshot_index: int = 0
     snapshot_offset: int = 0
     snapshot_sent_at: float = float("-inf")
+    # How long a reply to a chunk is waited for, in seconds, and whether this chunk was sent again.
+    snapshot_wait: float = 0.0
+    snapshot_resent: bool = False
 
     def may_send(self) -> bool:
         """Return whether more entries may be put in flight."""
--- a/traystall/consensus/snapshots.py
+++ b/traystall/consensus/snapshots.py
@@ -6,7 +6,10 @@
 from traystall.consensus.models import SaveSnapshot, Snapshot, decode_members, encode_members
 from traystall.rpc.gen.wire.ttypes import SnapshotChunk, SnapshotReply
 
-SNAPSHOT_CHUNK_BYTES = 256 * 1024
+# Alone on 5 Mbit/s a chunk takes 0.1 s, of which only the first is sent again too early.
+SNAPSHOT_CHUNK_BYTES = 64 * 1024
+# The longest wait for the reply to a chunk, in seconds; after that it is sent again.
+_LONGEST_WAIT = 5.0
 
 
 class SnapshotTransfer:
@@ -18,8 +21,14 @@
         if progress.snapshot_index != snapshot.index:
             progress.snapshot_index = snapshot.index
             progress.snapshot_offset = 0
-        elif now < progress.snapshot_sent_at + self.timing.heartbeat:
+            progress.snapshot_wait = 2 * self.timing.heartbeat
+        elif now < progress.snapshot_sent_at + progress.snapshot_wait:
             return
+        else:
+            # Sent again each heartbeat, a chunk that takes longer on its link fills it with copies:
+            # at 5 Mbit/s 1,237 chunks were sent for 40.
+            progress.snapshot_resent = True
+            progress.snapshot_wait = min(_LONGEST_WAIT, 2 * progress.snapshot_wait)
         self._send_chunk(peer, now)
 
     def _send_chunk(self, peer, now):
@@ -105,4 +114,12 @@
         # started one more transfer: 356 chunks were sent for 40.
         if current and reply.offset != progress.snapshot_offset:
             progress.snapshot_offset = reply.offset
+            self._learn_wait(progress, now)
             self._send_chunk(reply.sender, now)
+
+    def _learn_wait(self, progress, now):
+        """Wait twice as long as the last reply took, unless it may be one to an earlier sending."""
+        if not progress.snapshot_resent:
+            took = now - progress.snapshot_sent_at
+            progress.snapshot_wait = max(2 * self.timing.heartbeat, 2 * took)
+        progress.snapshot_resent = False
--- a/traystall/control/subscribers.py
+++ b/traystall/control/subscribers.py
@@ -67,6 +67,7 @@
 
     async def transfer(self, request: TransferRequest) -> TransferReply:
         """Return a chunk of a configuration that was offered to a watcher."""
+        self._note(request.gateway, direct=True)
         return self._copies.chunk(request)
 
     def exchange(self, request: DigestRequest) -> DigestReply:
--- a/traystall/gateway/configuration.py
+++ b/traystall/gateway/configuration.py
@@ -27,6 +27,8 @@
 _WATCH_TIMEOUT = 1.6
 _FIRST_TIMEOUT = 1.5
 _RETRY_SECONDS = 0.2
+# A gateway that has forgotten its base asks so often, in seconds: as often as a quiet watch ends.
+_NO_BASE_SECONDS = 1.0
 # Changes up to this size come with the reply, in bytes; larger ones are fetched in chunks.
 # Alone on 5 Mbit/s it takes 26 ms, so that even all control daemons at once stay in time.
 _INLINE_BYTES = 16 * 1024
@@ -101,7 +103,7 @@
         self._directory = FollowedDirectory()
         # Who answered first at the start: watched first, because it is surely there.
         self._answered = ""
-        self._fetcher = CopyFetcher(links, "gateway")
+        self._fetcher = CopyFetcher(links, describe)
         self._copies = CopySource(lambda base: full_copy(self.held.entities, self.held.digest))
 
     @property
@@ -109,6 +111,11 @@
         """Return the gateways as they were last told of."""
         return self._directory.rows
 
+    @property
+    def newest_number(self) -> int:
+        """Return the number of the revision that is held or being fetched."""
+        return max(self.held.number, self._fetcher.number)
+
     async def take_highest(self) -> None:
         """Take the highest revision among all that can be reached; done once at the start.
 
@@ -147,6 +154,8 @@
                 position += 1
                 self._directory.turn()
                 await asyncio.sleep(_RETRY_SECONDS)
+            elif self._lacks_base(reply):
+                await asyncio.sleep(_NO_BASE_SECONDS)
 
     async def take_from(self, address: str) -> None:
         """Take the revision of one control daemon that is known to have a newer one."""
@@ -157,7 +166,8 @@
     def answer_watch(self, request: WatchRequest) -> WatchReply:
         """Return this gateway's revision to a neighbour that starts."""
         reply = WatchReply(
-            number=self.held.number,
+            # Forgotten entities are no revision that another gateway could take.
+            number=self.held.number if self.held.entities else 0,
             digest=self.held.digest,
             full=True,
             base=b"",
@@ -179,6 +189,13 @@
         """Return whether a reply told of a newer revision and nothing newer is held since."""
         return self.held.number == before and (reply.number or 0) > before
 
+    def _lacks_base(self, reply):
+        """Return whether the revision held is in force, but its entities were forgotten.
+
+        Only a higher one brings them back; a watch is answered at once until then.
+        """
+        return reply.number == self.held.number and self.held.digest != reply.digest
+
     async def _ask_for_revision(self, address):
         """Ask for the revision alone; return the address with the reply.
 
@@ -208,8 +225,7 @@
         self._take_beside(reply)
         if reply.number <= self.held.number:
             return False
-        others = [known for known in self._controls if known != address]
-        copy = await self._fetcher.fetch(address, reply, others)
+        copy = await self._fetcher.fetch(address, reply)
         if copy is None:
             return False
         fill_reply(reply, copy)
--- a/traystall/gateway/transfer.py
+++ b/traystall/gateway/transfer.py
@@ -2,16 +2,21 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from traystall.catalog.transfers import ChunkPace, IncomingCopy, RevisionCopy
 from traystall.core import clock
 from traystall.core.exceptions import DeltaMismatch, RpcError
 from traystall.core.logs import decision
 from traystall.rpc.client import LinkPool
-from traystall.rpc.gen.wire.ttypes import TransferRequest, WatchReply
+from traystall.rpc.gen.wire.ttypes import (
+    GatewayRecord,
+    TransferRequest,
+    WatchReply,
+)
 
 # After so many chunks in a row that did not come, whoever watches turns to another source.
-_MAX_FAILURES = 4
+_MAX_FAILURES = 3
 # A source that fails at once is not asked again at once: the least pause, in seconds.
 _FAILURE_PAUSE = 0.05
 
@@ -23,11 +28,15 @@
 
     Several transfers at once fill a narrow link with copies of the same bytes, each of them too
     late: on 5 Mbit/s, three copies of 335 KB take 1.6 s, as long as a time-out, and had no end.
+
+    `describe` returns the record of this gateway. It goes with each chunk's request, because no
+    watch goes out meanwhile: a transfer that takes longer than a silent gateway is kept in the
+    directory would take this one out of it.
     """
 
-    def __init__(self, links: LinkPool, sender: str):
+    def __init__(self, links: LinkPool, describe: Callable[[], GatewayRecord]):
         self._links = links
-        self._sender = sender
+        self._describe = describe
         self._lock = asyncio.Lock()
         self._sources: list[str] = []
         self._incoming: IncomingCopy | None = None
@@ -35,12 +44,9 @@
         # The number of the revision that is being fetched; 0 if none is.
         self.number = 0
 
-    async def fetch(
-        self, address: str, reply: WatchReply, others: list[str]
-    ) -> RevisionCopy | None:
+    async def fetch(self, address: str, reply: WatchReply) -> RevisionCopy | None:
         """Return what `reply` from `address` offers, or None if it could not be had.
 
-        `others` are asked in turn where `address` fails, whether they have the revision or not.
         While another transfer runs, `address` becomes a further source of that one: this call
         then returns None once it has ended, and the caller watches again.
         """
@@ -50,7 +56,7 @@
             async with self._lock:
                 return None
         async with self._lock:
-            self._sources = list(dict.fromkeys([address, *others]))
+            self._sources = [address]
             self.number = reply.number
             try:
                 return await self._fetch(reply)
@@ -61,11 +67,9 @@
         offer = reply.offer
         if self._incoming is None or self._incoming.digest != offer.digest:
             self._incoming = IncomingCopy(offer.digest, offer.size)
-        self._pace = ChunkPace()
+            self._pace = ChunkPace()
         began, held = clock.monotonic(), self._incoming.offset
-        request = TransferRequest(
-            sender=self._sender, base=reply.base or b"", result=reply.digest, digest=offer.digest
-        )
+        request = TransferRequest(base=reply.base or b"", result=reply.digest, digest=offer.digest)
         failures = await self._pull(request)
         whole = self._incoming.is_whole
         decision(
@@ -83,36 +87,37 @@
         """Ask for one chunk after another; return how many did not come."""
         failures = in_a_row = 0
         while not self._incoming.is_whole and self._sources and in_a_row < _MAX_FAILURES:
-            if await self._pull_chunk(request):
+            try:
+                await self._pull_chunk(request)
                 in_a_row = 0
-                continue
-            failures += 1
-            in_a_row += 1
-            await asyncio.sleep(_FAILURE_PAUSE)
+            except RpcError as error:
+                logger.info(
+                    "chunk not fetched", extra={"peer": self._sources[0], "why": str(error)}
+                )
+                failures += 1
+                in_a_row += 1
+                self._pace.on_failure()
+                # Another source goes on where this one stopped.
+                self._sources.append(self._sources.pop(0))
+                await asyncio.sleep(_FAILURE_PAUSE)
         return failures
 
-    async def _pull_chunk(self, request) -> bool:
-        """Ask the first source for the next chunk; return whether it came.
+    async def _pull_chunk(self, request):
+        """Take the next chunk from the first source, which is left out if it has another revision.
 
-        If not, another source is the first one, which goes on where this one stopped.
+        Raise RpcError if no chunk comes in time.
         """
         address = self._sources[0]
+        request.gateway = self._describe()
         request.offset = self._incoming.offset
         request.length = self._pace.bytes
         began = clock.monotonic()
-        try:
-            reply = await self._links.link(address).call(request, self._pace.seconds)
-        except RpcError as error:
-            logger.info("chunk not fetched", extra={"peer": address, "why": str(error)})
-            self._pace.on_failure()
-            self._sources.append(self._sources.pop(0))
-            return False
-        if not reply.known or not self._incoming.add(request.offset, reply.data or b""):
-            logger.info("source has another revision", extra={"peer": address})
-            self._sources.pop(0)
-            return False
-        self._pace.on_chunk(clock.monotonic() - began)
-        return True
+        reply = await self._links.link(address).call(request, self._pace.seconds)
+        if reply.known and self._incoming.add(request.offset, reply.data or b""):
+            self._pace.on_chunk(clock.monotonic() - began)
+            return
+        logger.info("source has another revision", extra={"peer": address})
+        self._sources.pop(0)
 
     def _finish(self):
         """Return the whole copy, or None if its bytes are damaged: it is then fetched anew."""
--- a/traystall/passthrough/context.py
+++ b/traystall/passthrough/context.py
@@ -66,7 +66,8 @@
 
     def is_behind(self) -> bool:
         """Return whether a revision is known to be accepted that is not in force here yet."""
-        return self.registry.newest_number > self.index.number
+        newest = max(self.registry.newest_number, self.follower.newest_number)
+        return newest > self.index.number
 
     async def wait_for_configuration(self, seconds: float) -> None:
         """Return once a configuration is in force, or after `seconds`."""
--- a/traystall/registry/follower.py
+++ b/traystall/registry/follower.py
@@ -43,8 +43,7 @@
         self.evacuation_version: Callable[[], int] = lambda: 0
         self.on_evacuated: Callable = lambda told: None
         self.heard_at: dict[str, float] = {}
-        # The highest revision that any registry has told of.
-        self.newest_number = 0
+        self._told_numbers: dict[str, int] = {}
         self._links = links
         self._sender = sender
         self._addresses = addresses
@@ -64,12 +63,18 @@
         """Return when any registry last answered, in monotonic seconds."""
         return max(self.heard_at.values(), default=float("-inf"))
 
+    @property
+    def newest_number(self) -> int:
+        """Return the highest revision that a registry told of when it last answered."""
+        return max(self._told_numbers.values(), default=0)
+
     def _review(self):
         wanted = set(self._addresses())
         for address in wanted - self._watches.keys():
             self._watches[address] = asyncio.create_task(self._watch_forever(address))
         for address in self._watches.keys() - wanted:
             self._watches.pop(address).cancel()
+            self._told_numbers.pop(address, None)
 
     async def _watch_forever(self, address):
         request = RegistryRequest(sender=self._sender, epoch="", version=0)
@@ -92,7 +97,7 @@
             if reply.ages is not None:
                 ages_at = self.heard_at[address]
             told = reply.number or 0
-            self.newest_number = max(self.newest_number, told)
+            self._told_numbers[address] = told
             if told > self.number():
                 self.on_number(told, address)
             request.epoch = reply.epoch
--- a/traystall/rpc/gen/wire/ttypes.py
+++ b/traystall/rpc/gen/wire/ttypes.py
@@ -3387,7 +3387,7 @@
 class TransferRequest(object):
     """
     Attributes:
-     - sender
+     - gateway
      - base
      - result
      - digest
@@ -3397,7 +3397,7 @@
     """
 
     __slots__ = (
-        'sender',
+        'gateway',
         'base',
         'result',
         'digest',
@@ -3406,8 +3406,8 @@
     )
 
 
-    def __init__(self, sender=None, base=None, result=None, digest=None, offset=None, length=None,):
-        self.sender = sender
+    def __init__(self, gateway=None, base=None, result=None, digest=None, offset=None, length=None,):
+        self.gateway = gateway
         self.base = base
         self.result = result
         self.digest = digest
@@ -3424,8 +3424,9 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.STRUCT:
+                    self.gateway = GatewayRecord()
+                    self.gateway.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -3463,9 +3464,9 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('TransferRequest')
-        if self.sender is not None:
-            oprot.writeFieldBegin('sender', TType.STRING, 1)
-            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
+        if self.gateway is not None:
+            oprot.writeFieldBegin('gateway', TType.STRUCT, 1)
+            self.gateway.write(oprot)
             oprot.writeFieldEnd()
         if self.base is not None:
             oprot.writeFieldBegin('base', TType.STRING, 2)
@@ -7692,7 +7693,7 @@
 all_structs.append(TransferRequest)
 TransferRequest.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
+    (1, TType.STRUCT, 'gateway', [GatewayRecord, None], None, ),  # 1
     (2, TType.STRING, 'base', 'BINARY', None, ),  # 2
     (3, TType.STRING, 'result', 'BINARY', None, ),  # 3
     (4, TType.STRING, 'digest', 'BINARY', None, ),  # 4
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -151,7 +151,7 @@
 }
 // Ask for a part of what was offered. Who does not hold it makes it of base and result again.
 struct TransferRequest {
-  1: string sender, 2: binary base, 3: binary result, 4: binary digest
+  1: GatewayRecord gateway, 2: binary base, 3: binary result, 4: binary digest
   5: i64 offset, 6: i64 length
 }
 // Not known: another revision is in force there, or it packs otherwise.
