Start the pass-through gateway of tests in one place

Ruled out: a fixture (both hold several gateways). Change: a support module; no test is changed otherwise. Conclusion: one copy.

--- a/tests/gateway/test_configuration_transfer.py
+++ b/tests/gateway/test_configuration_transfer.py
@@ -20,13 +20,9 @@
 
 from tests.support.control_group import ControlGroup, free_address
 from tests.support.narrow_link import NarrowLink
-from traystall.conf.settings import load
+from tests.support.pass_gateway import start_pass_gateway
 from traystall.core.serialization import pack
-from traystall.passthrough.daemon import PassGateway
-from traystall.passthrough.dialect import HeaderNames, PlainStageDialect
-from traystall.passthrough.settings import SETTINGS, check_gateway
 from traystall.routes.models import Pool, Route, Split
-from traystall.routes.tables import translate_entities
 
 HOST = "shop.example"
 LINK_BYTES_PER_SECOND = 200_000
@@ -94,19 +90,9 @@
 
     async def start_gateway(self):
         """Start a gateway that knows the control daemons by their relays."""
-        values = {
-            "cluster": "test",
-            "instance": f"gateway-{len(self.gateways)}",
-            "data-centre": "here",
-            "listen": free_address(),
-            "rpc-listen": free_address(),
-            "control": ",".join(self.group.addresses.values()),
-            "drain-notice": "0",
-        }
-        argv = [f"--{name}={value}" for name, value in values.items()]
-        settings = load("traystall-pass", SETTINGS, [check_gateway], argv, {})
-        gateway = PassGateway(settings, translate_entities, HeaderNames(), PlainStageDialect())
-        await gateway.start()
+        gateway = await start_pass_gateway(
+            f"gateway-{len(self.gateways)}", self.group.addresses.values()
+        )
         self.gateways.append(gateway)
 
     async def apply(self, number, entities):
--- a/tests/passthrough/test_whole_path.py
+++ b/tests/passthrough/test_whole_path.py
@@ -7,13 +7,11 @@
 
 import aiohttp
 
-from tests.support.control_group import ControlGroup, free_address
+from tests.support.control_group import ControlGroup
 from tests.support.emulator.runner import Runner
-from traystall.conf.settings import load
+from tests.support.pass_gateway import start_pass_gateway
 from traystall.core.serialization import pack
-from traystall.passthrough.daemon import PassGateway
-from traystall.passthrough.dialect import HeaderNames, PlainStageDialect
-from traystall.passthrough.settings import SETTINGS, check_gateway
+from traystall.passthrough.dialect import HeaderNames
 from traystall.routes.models import (
     BatchProfile,
     EngineProfile,
@@ -23,7 +21,6 @@
     Split,
     StagePlan,
 )
-from traystall.routes.tables import translate_entities
 from traystall.rpc.gen.wire.ttypes import EvacuateRequest, StatusRequest
 
 HOST = "shop.example"
@@ -72,19 +69,7 @@
             await self._start_gateway(number)
 
     async def _start_gateway(self, number):
-        values = {
-            "cluster": "test",
-            "instance": f"gateway-{number}",
-            "data-centre": "here",
-            "listen": free_address(),
-            "rpc-listen": free_address(),
-            "control": ",".join(self.group.addresses.values()),
-            "drain-notice": "0",
-        }
-        argv = [f"--{name}={value}" for name, value in values.items()]
-        settings = load("traystall-pass", SETTINGS, [check_gateway], argv, {})
-        gateway = PassGateway(settings, translate_entities, HeaderNames(), PlainStageDialect())
-        await gateway.start()
+        gateway = await start_pass_gateway(f"gateway-{number}", self.group.addresses.values())
         self.gateways.append(gateway)
 
     async def add(self, pool, **options):
