--- a/benchmarks/play_days.py
+++ b/benchmarks/play_days.py
@@ -1,9 +1,11 @@
 """Play days of our own on the users' bench and print broken rules, gate and score of each.
 
-    python -m benchmarks.play_days BENCH SITE --why "..." [--only NAME,...] [--jobs N] [--small]
+    python -m benchmarks.play_days BENCH SITE --why "..." [--days FILE] [--only NAME,...]
+                                   [--jobs N] [--small]
 
 BENCH is the bench's program and SITE a site file of it. Traffic, goals and marks
-are taken from the site's first quiet day; the troubles from benchmarks/days/.
+are taken from the site's first quiet day; the troubles from benchmarks/days/,
+where `--days` names another file than troubles.toml.
 Days are written under target/days/ and played one after the other, `--jobs` at
 a time; `--small` plays the small twins of a large site.
 """
@@ -29,7 +31,7 @@
     """Play the days and print a table."""
     arguments = _parse()
     quiet = _quiet_day(Path(arguments.site))
-    days = tomllib.loads(TROUBLES.read_text())["day"]
+    days = tomllib.loads(Path(arguments.days).read_text())["day"]
     wanted = set(arguments.only.split(",")) if arguments.only else None
     chosen = [day for day in days if wanted is None or day["name"] in wanted]
     with ThreadPoolExecutor(arguments.jobs) as pool:
@@ -44,6 +46,7 @@
     parser.add_argument("bench")
     parser.add_argument("site")
     parser.add_argument("--why", required=True)
+    parser.add_argument("--days", default=str(TROUBLES))
     parser.add_argument("--only", default="")
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--small", action="store_true")
