--- a/tests/gateway/test_configuration_transfer.py
+++ b/tests/gateway/test_configuration_transfer.py
@@ -1,6 +1,6 @@
 """How much a gateway takes from a narrow link for a large configuration, and for how long.
 
-A configuration of 335 KB was acknowledged, yet stayed away from gateways for 13 s on links of
+A configuration of 314 KB was acknowledged, yet stayed away from gateways for 13 s on links of
 5 Mbit/s. Each gateway asked several control daemons at once for the whole of it, with a time-out
 shorter than the transfer took beside other traffic. It threw the late replies away and began anew,
 so the links were full of copies that nobody read, and none of them came into force.
--- a/traystall/gateway/transfer.py
+++ b/traystall/gateway/transfer.py
@@ -27,7 +27,7 @@
     """Fetch what sources offer; at most one transfer runs, and what has arrived is kept.
 
     Several transfers at once fill a narrow link with copies of the same bytes, each of them too
-    late: on 5 Mbit/s, three copies of 335 KB take 1.6 s, as long as a time-out, and had no end.
+    late: on 5 Mbit/s, three copies of 314 KB take 1.5 s, as long as a time-out, and had no end.
 
     `describe` returns the record of this gateway. It goes with each chunk's request, because no
     watch goes out meanwhile: a transfer that takes longer than a silent gateway is kept in the
--- a/traystall/passthrough/entry/front.py
+++ b/traystall/passthrough/entry/front.py
@@ -123,7 +123,7 @@
         """Return the refusal of what the configuration in force here doesn't allow.
 
         The next one may allow it: until that has arrived nobody is told that it never will be,
-        as callers were for 13 s by gateways to which a configuration of 335 KB did not get through.
+        as callers were for 13 s by gateways to which a configuration of 314 KB did not get through.
         """
         if self._context.is_behind():
             return Refusal(
