--- a/traystall/consensus/snapshots.py
+++ b/traystall/consensus/snapshots.py
@@ -8,8 +8,9 @@
 
 # Alone on 5 Mbit/s a chunk takes 0.1 s, of which only the first is sent again too early.
 SNAPSHOT_CHUNK_BYTES = 64 * 1024
-# The longest wait for the reply to a chunk, in seconds; after that it is sent again.
-_LONGEST_WAIT = 5.0
+# The longest wait for the reply to a chunk, in seconds; after that it is sent again. Enough for
+# links of 0.5 Mbit/s; more would keep a replica waiting that comes back from a cut.
+_LONGEST_WAIT = 1.0
 
 
 class SnapshotTransfer:
