Take the ports of daemons in tests from below those of outgoing connections

Cause: a whole run beside other work failed once: `address already in use` at 127.0.0.1:55043, a port that was free a moment before and lies in the range (32768 to 60999) from which the system takes ports of outgoing connections. Ruled out: the product and the test that failed (a bind of a health page at the start of a control daemon). Change: the in-process group takes addresses as the cluster of processes does: a host of the process's own, ports below that range, none handed out twice. Conclusion: the window is closed for this range.

--- a/tests/support/control_group.py
+++ b/tests/support/control_group.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import shutil
-import socket
 
+from tests.support.cluster import HOST, free_ports
 from traystall.catalog.deltas import entities_digest
 from traystall.conf.settings import load
 from traystall.control.daemon import ControlDaemon
@@ -22,10 +22,12 @@
 
 
 def free_address():
-    """Return a loopback address that was free a moment ago."""
-    with socket.socket() as held:
-        held.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{held.getsockname()[1]}"
+    """Return a loopback address that was free a moment ago and was not handed out before.
+
+    Its port is none that the system gives to outgoing connections: beside other work one of those
+    took the port between this call and the daemon's, which then could not listen there.
+    """
+    return f"{HOST}:{free_ports(1)[0]}"
 
 
 class ControlGroup:
