--- a/tests/support/emulator/runner.py
+++ b/tests/support/emulator/runner.py
@@ -8,8 +8,12 @@
 import json
 from collections import deque
 
+from traystall.core import clock
 from traystall.passthrough.dialect import HeaderNames
 
+# By which a target says in its answers that it leaves.
+LEAVING = "Traystall-Leaving"
+
 FAULTS = (
     "none",
     "not run",
@@ -61,6 +65,16 @@
         self.ends_on = b""
         self.ends = 0
         self.is_up = False
+        # The next requests are turned away, each with one of these as its Retry-After; whether
+        # such an answer also has the mark that the request has not run.
+        self.rests = deque()
+        self.rests_marked = True
+        # When it has asked for rest (monotonic seconds), and when each request has reached it.
+        self.asked_at = []
+        self.arrivals = []
+        # Whether all its answers say that it leaves, and when the first one did.
+        self.leaves = False
+        self.left_at = None
         self.address = ""
         self._server = None
         self._writers = set()
@@ -103,6 +117,10 @@
 
     async def _serve_one(self, reader, writer):
         request = await self._read(reader)
+        self.arrivals.append((clock.monotonic(), request["path"]))
+        if self.rests and not request["path"].endswith(("/pieces/free", "/report")):
+            self._ask_for_rest(writer, request)
+            return True
         if request["path"].endswith("/pieces/run"):
             return await self._run_pieces(writer, request)
         if request["path"].endswith("/pieces/free"):
@@ -148,6 +166,22 @@
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         return {"method": method, "path": path, "headers": headers, "raw": raw, "body": body}
 
+    def reached_within(self, begin, end):
+        """Return the paths of what reached it in a time after it asked for rest, in seconds."""
+        asked = self.asked_at[0]
+        return [path for at, path in self.arrivals if asked + begin < at < asked + end]
+
+    def reached_since_left(self, seconds):
+        """Return the paths of what reached it later than so long after it said that it leaves."""
+        return [path for at, path in self.arrivals if at > self.left_at + seconds]
+
+    def _ask_for_rest(self, writer, request):
+        self.rejected.append(request)
+        mark = {self.names.not_run: "1"} if self.rests_marked else {}
+        extra = {"Retry-After": self.rests.popleft()} | mark
+        self._answer(writer, request, 503, b"", extra, signed=False)
+        self.asked_at.append(clock.monotonic())
+
     async def _answer_fault(self, writer, request, fault):
         body = b"answer to " + request["body"]
         if fault == "closed after running":
@@ -209,6 +243,9 @@
         if length is not None:
             headers["Content-Length"] = str(length)
         headers |= extra
+        if self.leaves:
+            headers[LEAVING] = "1"
+            self.left_at = self.left_at or clock.monotonic()
         lines = [f"HTTP/1.1 {status} X"] + [f"{k}: {v}" for k, v in headers.items()]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
 
