--- a/tests/passthrough/test_asking.py
+++ b/tests/passthrough/test_asking.py
@@ -174,6 +174,34 @@
     play(story, {"plain": 1})
 
 
+def test_burst_on_open_connections_keeps_to_a_rest():
+    """Forty connections are open and busy when the target asks for rest."""
+
+    async def story(gateway, runners):
+        resting = runners[0]
+        resting.call_seconds = 0.1
+        await asyncio.gather(*(gateway.call() for _ in range(40)))
+        resting.rests.append("1.5")
+        while not resting.asked_at or clock.monotonic() < resting.asked_at[0] + 1.4:
+            await asyncio.gather(*(gateway.call() for _ in range(40)))
+        assert resting.reached_within(0.1, 1.5) == []
+        with pytest.raises(KeyError):  # Nothing was counted.
+            metrics.sent_in_rest_total.get({"pool": "plain"})
+
+    play(story, {"plain": 2})
+
+
+def test_what_passes_by_the_decision_is_counted():
+    async def story(gateway, runners):
+        view = rest(gateway, runners[0], 5.0)
+        connection = await view.connections.acquire()
+        connection.send(b"GET / HTTP/1.1\r\n\r\n")
+        view.connections.discard(connection)
+        assert metrics.sent_in_rest_total.get({"pool": "batches"}) == 1
+
+    play(story, {"batches": 1})
+
+
 def test_attempt_that_was_held_back_costs_nothing():
     """It goes elsewhere without an attempt, a repeat, or a doubt about the target."""
 
