--- /dev/null
+++ b/tests/control/test_orders_at_rest.py
@@ -0,0 +1,51 @@
+"""A target that asks a control daemon for rest gets neither questions nor orders meanwhile.
+
+Nor is one that turns a question away taken to hold nothing: it would be ordered to load all.
+"""
+
+import asyncio
+
+import pytest
+
+from tests.support.raw_target import RawTarget
+from traystall.control.order_client import RESTING, OrderClient
+from traystall.tables.entities import Target
+
+
+class Busy(RawTarget):
+    """Answer everything with 503 and a rest; count what comes."""
+
+    came = 0
+
+    async def _serve_one(self, reader, writer):
+        await self._read(reader)
+        self.came += 1
+        self._write(writer, 503, "", "{}", f"Retry-After: {self.rest}\r\n")
+        await writer.drain()
+        return False
+
+
+@pytest.mark.parametrize("first", ["observe", "order"])
+def test_target_gets_its_rest(first):
+    async def story():
+        busy = await Busy().start()
+        busy.rest = "0.4"
+        target = Target("e-1", "pool", "engine", "here", busy.address)
+        client = OrderClient(lambda term: True)
+
+        async def order():
+            return await client.send(target, {"term": 1}, 1.0)
+
+        if first == "observe":
+            assert await client.observe(target) is None
+        else:
+            assert await order() == "503"
+        assert (await client.observe(target), await order()) == (None, RESTING)
+        assert busy.came == 1
+        await asyncio.sleep(0.45)
+        assert await order() == "503"
+        assert busy.came == 2
+        await client.close()
+        await busy.stop()
+
+    asyncio.run(story())
--- a/tests/gateway/test_targets_at_rest.py
+++ b/tests/gateway/test_targets_at_rest.py
@@ -1,13 +1,16 @@
 """Pipelines: a target that asks for rest is left alone, and callers are told when to come back."""
 
 import asyncio
+import logging
 
 import pytest
 
 from tests.support.gateway_bench import PLACE, GatewayBench, engine_stage, service_stage
 from tests.support.raw_target import RawTarget
-from traystall.core import clock
+from traystall.core import clock, metrics
+from traystall.core.logs import DECISION_LOGGER
 from traystall.gateway.lookups import LookUps
+from traystall.gateway.news import note_asked
 from traystall.systems.membership import PresenceReport, on_report
 from traystall.tables.targets import TargetRow
 
@@ -108,6 +111,70 @@
     play(story, service_stage())
 
 
+@pytest.mark.parametrize("leaves", [False, True])
+def test_what_was_asked_outlasts_an_absence(leaves):
+    """An evacuation takes targets away and brings them back."""
+
+    async def story(bench, targets):
+        row = row_of(bench, 0)
+        if leaves:
+            on_report(row, PresenceReport(row.target.name, True, "one", first_hand=True))
+        else:
+            row.asked.ask_rest(30.0, "", clock.monotonic())
+        rows = bench.rows
+        bench.declare([one for one in rows if one is not row.target and one != row.target], 2)
+        assert row_of(bench, 0) is None
+        bench.declare(rows, 3)
+        for _ in range(10):
+            assert (await bench.ask("mark"))[0] == 200
+        assert targets[0].seen == []
+
+    play(story, service_stage())
+
+
+def test_request_waits_for_a_rest_that_ends_in_time():
+    async def story(bench, targets):
+        row_of(bench, 0).asked.ask_rest(0.5, "", clock.monotonic())
+        began = clock.monotonic()
+        assert (await bench.ask("mark"))[0] == 200
+        assert 0.4 < clock.monotonic() - began < 0.9
+
+    play(story, service_stage(), targets=1)
+
+
+def test_end_of_a_rest_is_logged_and_counted(caplog):
+    caplog.set_level(logging.INFO, DECISION_LOGGER)
+
+    async def story(bench, targets):
+        targets[0].rest, targets[0].faults = "0.3", ["rests"]
+        call = asyncio.create_task(bench.ask("mark"))
+        await asyncio.sleep(0.15)
+        bench.context.tick()
+        assert metrics.resting_targets.get({}) == 1
+        assert (await call)[0] == 200
+        bench.context.tick()
+        assert metrics.resting_targets.get({}) == 0
+
+    play(story, service_stage(), targets=1)
+    found = [r.getMessage() for r in caplog.records if r.getMessage().startswith("target-")]
+    assert found == ["target-rests", "target-rested"]
+
+
+def test_state_that_is_told_ends_no_caution_after_a_rest():
+    """An answer to a question for state shows nothing of the work that the target bears."""
+
+    async def story(bench, targets):
+        row = row_of(bench, 0)
+        row.asked.ask_rest(0.05, "", clock.monotonic())
+        await asyncio.sleep(0.1)
+        note_asked(row, 200, {})
+        assert row.asked.is_returning
+        assert (await bench.ask("mark"))[0] == 200
+        assert not row.asked.is_returning
+
+    play(story, service_stage(), targets=1)
+
+
 def test_look_ups_leave_a_target_at_rest_alone():
     async def story(bench, targets):
         for number in range(2):
--- a/tests/passthrough/test_asking.py
+++ b/tests/passthrough/test_asking.py
@@ -225,6 +225,27 @@
     play(story, {"plain": 2}, table(max_attempts=1))
 
 
+def test_pieces_that_were_held_back_wait_on():
+    async def story(gateway, runners):
+        view = gateway.context.board.view(runners[0].identity)
+        acquire = view.connections.acquire
+
+        async def slow(fresh_within):
+            view.connections.acquire = acquire
+            found = await acquire(fresh_within)
+            rest(gateway, runners[0], 0.3)
+            return found
+
+        view.connections.acquire = slow
+        gateway.context.may_repeat_batched = lambda *_: pytest.fail("a repeat was taken")
+        began = clock.monotonic()
+        assert (await gateway.call("/staged/x", **PIECES))[0] == 200
+        assert 0.3 <= clock.monotonic() - began < 0.8
+        assert (view.failures, view.avoid_until) == (0, float("-inf"))
+
+    play(story, {"batches": 1, "engine": 1}, table(stages=STAGES), events=2)
+
+
 def test_word_in_an_answer_that_nobody_waits_for_is_heard():
     async def story(gateway, runners):
         view = gateway.context.board.view(runners[0].identity)
@@ -390,7 +411,7 @@
         runners[0].end()
         await asyncio.gather(call, return_exceptions=True)
         await asyncio.sleep(0.4)
-        assert gateway.leader.table.listed() == []
+        assert len(gateway.leader.table) == 0
 
     play(story, {"engine": 1}, events=5)
 
@@ -415,6 +436,7 @@
         await gateway.call()
         gateway.context.asking.review(gateway.context.board.views())
         assert metrics.leaving_targets.get({}) == 1
+        assert gateway.context.board.pool("plain") == []
 
     play(story, {"plain": 1})
     lines = {r.getMessage(): r for r in caplog.records if r.getMessage().startswith("target-")}
@@ -427,3 +449,14 @@
         "r-asked",
     )
     assert lines["target-leaves"].request == "r-left"
+
+
+def test_word_of_another_life_at_the_address_is_not_the_targets():
+    async def story(gateway, runners):
+        runners[0].leaves = True
+        runners[0].identity = "another"
+        view = gateway.context.board.view("plain-0")
+        assert (await gateway.call())[0] == 503
+        assert view.is_misplaced and not view.asked.leaves
+
+    play(story, {"plain": 1})
--- a/traystall/control/order_client.py
+++ b/traystall/control/order_client.py
@@ -13,6 +13,7 @@
 from traystall.tables.entities import Target
 
 _STATE_TIMEOUT_SECONDS = 1.0
+_OK = 200
 # The outcome of an order that was not sent since its target has asked for rest.
 RESTING = "resting"
 
@@ -40,6 +41,9 @@
             url = f"http://{target.address}/v1/state"
             async with self._session.get(url, timeout=timeout) as response:
                 self._note(target, response)
+                if response.status != _OK:
+                    # Its body tells nothing: one that is busy seemed to hold no model.
+                    return None
                 body = await response.json()
             return EngineState(
                 target.name, _loaded(body.get("ready", [])), _loaded(body.get("loading", []))
@@ -66,7 +70,10 @@
 
     def _rests(self, target):
         asked = self._asked.get(target.address)
-        return asked is not None and asked.rests(clock.monotonic())
+        if asked is None or asked.rests(clock.monotonic()):
+            return asked is not None
+        del self._asked[target.address]
+        return False
 
     def _note(self, target, response):
         """Take in that a target asks this daemon for rest: orders and questions wait as well."""
--- a/traystall/gateway/context.py
+++ b/traystall/gateway/context.py
@@ -7,7 +7,7 @@
 from traystall.gateway.configuration import ConfigurationFollower
 from traystall.gateway.dispatch import Dispatcher
 from traystall.gateway.ledger import LedgerClient
-from traystall.gateway.news import note_presence
+from traystall.gateway.news import note_presence, review_rests
 from traystall.gateway.results import ResultStore
 from traystall.gateway.settings import Settings
 from traystall.quarantine.guard import RequestGuard
@@ -49,6 +49,7 @@
         self.results = ResultStore()
         self.retry_budget = RetryBudget()
         self._quick_pools: set[str] = set()
+        self._resting: set[str] = set()
         self.dispatcher = Dispatcher(self.targets, self.random)
         follower.on_change.append(self.on_configuration)
 
@@ -82,6 +83,7 @@
         for row in self.targets.all():
             speeds.decay(row, now)
             loads.fold_quick(row, now)
+        review_rests(self.targets.all(), self._resting)
         self._deal_shares()
         self.dispatcher.assign_all()
 
--- a/traystall/gateway/dispatch.py
+++ b/traystall/gateway/dispatch.py
@@ -36,6 +36,8 @@
         self._waiters: dict[str, list[Waiter]] = defaultdict(list)
         self._held_for: dict[str, set[str]] = defaultdict(set)
         self._fair = FairClock()
+        # When pools are looked at again since a target has rested.
+        self._after_rest: dict[str, asyncio.TimerHandle] = {}
         self.waits = WaitTimes()
 
     def waiting(self, pool: str) -> int:
@@ -105,6 +107,7 @@
             return
         choice = routing.choose(found, waiter, now, self._random)
         if choice.row is None:
+            self._assign_after_rest(waiter.stage.pool, found, now)
             return
         choice.row.take(waiter.priority)
         breakers.on_sent(choice.row.breaker)
@@ -121,6 +124,17 @@
         )
         waiter.grant.set_result(choice.row)
 
+    def _assign_after_rest(self, pool, rows, now):
+        """Look again when the next target has rested: nothing else may happen until then."""
+        rests = [row.asked.rest_until - now for row in rows if row.asked.rests(now)]
+        if rests and pool not in self._after_rest:
+            loop = asyncio.get_running_loop()
+            self._after_rest[pool] = loop.call_later(min(rests), self._on_rested, pool)
+
+    def _on_rested(self, pool):
+        del self._after_rest[pool]
+        self.assign(pool)
+
     def _give_back(self, waiter):
         """Return a slot that was granted at the moment the waiter gave up."""
         grant = waiter.grant
--- a/traystall/gateway/news.py
+++ b/traystall/gateway/news.py
@@ -1,6 +1,6 @@
 """Take in news of a target's presence and what it asks for, and log what they change."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from traystall.core import clock, metrics
 from traystall.core.logs import decision
@@ -8,9 +8,6 @@
 from traystall.systems.rests import RETRY_AFTER, TURNED_AWAY, rest_seconds
 from traystall.tables.targets import TargetRow
 
-# Statuses from here on are failures.
-_FAILURES = 500
-
 
 def note_presence(target: TargetRow, report: membership.PresenceReport) -> None:
     """Take in a report of a target's presence and log it if it changed anything."""
@@ -26,13 +23,22 @@
 
 def note_asked(target: TargetRow, status: int, headers: Mapping, request: str = "") -> None:
     """Take in what the head of any answer of a target asks for."""
-    now = clock.monotonic()
     if status != TURNED_AWAY:
-        if status < _FAILURES:
-            target.asked.on_answer(now)
         return
+    now = clock.monotonic()
     seconds = rest_seconds(headers.getall(RETRY_AFTER, []), headers.get("Date"))
     was_resting = target.asked.rests(now)
     if seconds and target.asked.ask_rest(seconds, request, now) and not was_resting:
         metrics.rests_total.inc({"pool": target.target.pool})
         decision("target-rests", target=target.target.name, seconds=seconds, request=request)
+
+
+def review_rests(targets: Iterable[TargetRow], resting: set[str]) -> None:
+    """Log the rests that are over; `resting` holds the names of those that rest between calls."""
+    now = clock.monotonic()
+    found = {row.target.name for row in targets if row.asked.rests(now)}
+    for name in sorted(resting - found):
+        decision("target-rested", target=name)
+    resting.clear()
+    resting.update(found)
+    metrics.resting_targets.set({}, len(found))
--- a/traystall/gateway/stages.py
+++ b/traystall/gateway/stages.py
@@ -31,6 +31,8 @@
 # that proved nothing, in seconds. Chosen.
 _TRIAL_PATIENCE = 0.5
 _TRIAL_RETRY_AFTER = 1
+# Statuses from here on are failures.
+_FAILURES = 500
 
 
 class StageRunner:
@@ -210,6 +212,8 @@
             )
             note_presence(target, report)
         note_asked(target, status, headers, run.row.request_id)
+        if status < _FAILURES:
+            target.asked.on_answer(clock.monotonic())
 
     # ---- after a failure ----
 
--- a/traystall/tables/targets.py
+++ b/traystall/tables/targets.py
@@ -11,6 +11,9 @@
 from traystall.tables.asked import Asked
 from traystall.tables.entities import PriorityClass, Target
 
+# So many targets that are no longer declared are remembered, the newest. Chosen.
+_MOST_FORMER = 1000
+
 
 class TargetState(StrEnum):
     """Name what is known of a target's presence."""
@@ -70,6 +73,11 @@
         else:
             self.bulk_in_flight -= 1
 
+    @property
+    def has_asked(self) -> bool:
+        """Return whether it has ever asked for rest, or leaves."""
+        return self.asked.rest_until > float("-inf") or self.state is TargetState.LEAVING
+
     @property
     def total_in_flight(self) -> int:
         """Return this gateway's attempts in flight at the target."""
@@ -81,17 +89,26 @@
 
     def __init__(self):
         self._rows: dict[str, TargetRow] = {}
+        # Rows that a revision or an evacuation took away and that have asked for something.
+        self._former: dict[str, TargetRow] = {}
         self._pools: dict[str, list[TargetRow]] = {}
 
     def replace(self, targets) -> None:
-        """Take over the targets of a revision, keeping the rows that still stand."""
+        """Take over the targets of a revision, keeping the rows that still stand.
+
+        What a target has asked for outlasts its absence: an evacuation that was taken back would
+        else send to one that rests or leaves.
+        """
+        known = self._former | self._rows
         rows = {}
         for target in targets:
-            row = self._rows.get(target.name)
+            row = known.get(target.name)
             if row is None or row.target.address != target.address:
                 row = TargetRow(target)
             row.target = target
             rows[target.name] = row
+        former = [(name, row) for name, row in known.items() if name not in rows and row.has_asked]
+        self._former = dict(former[-_MOST_FORMER:])
         self._rows = rows
         self._pools = {}
         for row in rows.values():
