--- a/tests/passthrough/test_asking.py
+++ b/tests/passthrough/test_asking.py
@@ -259,7 +259,22 @@
     play(story, {"plain": 1})
 
 
-def test_placing_by_another_gateway_does_not_bring_back_one_that_rests():
+def rests(gateway, runner):
+    rest(gateway, runner, 5.0)
+
+
+def says_that_it_leaves(gateway, runner):
+    gateway.context.board.view(runner.identity).asked.leaves = True
+
+
+def reports_that_it_leaves(gateway, runner):
+    report = gateway.context.board.view(runner.identity).report
+    draining = msgspec.structs.replace(report, state=RegisteredState.DRAINING, sequence=9)
+    gateway.context.board.merge(draining, clock.monotonic())
+
+
+@pytest.mark.parametrize("asks", [rests, says_that_it_leaves, reports_that_it_leaves])
+def test_placing_by_another_gateway_that_does_not_know_brings_nothing_back(asks):
     class Link:
         excluded = ()
 
@@ -272,7 +287,7 @@
         rpc_address = "127.0.0.1:1"
 
     async def story(gateway, runners):
-        rest(gateway, runners[0], 5.0)
+        asks(gateway, runners[0])
         link = Link()
         gateway.context.owners.owner = lambda key: Owner
         gateway.context.placing._links.link = lambda address: link
@@ -377,7 +392,9 @@
 def test_pool_of_workers_that_rests_admits_nobody():
     async def story(gateway, runners):
         rest(gateway, runners[0], 3.0)
+        began = clock.monotonic()
         status, headers, _ = await gateway.call("/staged/x", **PIECES)
+        assert clock.monotonic() - began < AT_ONCE_SECONDS
         assert status == 503
         assert 2.7 <= float(headers["Retry-After"]) <= 4.0
         assert gateway.context.batcher._queue("", "batches").rate(clock.monotonic()) == 0
--- a/traystall/passthrough/health/asking.py
+++ b/traystall/passthrough/health/asking.py
@@ -34,7 +34,7 @@
         if head.status == _MISDIRECTED:
             return
         values = head.get_all(RETRY_AFTER) if head.status == TURNED_AWAY else []
-        seconds = rest_seconds(values, head.get("Date"))
+        seconds = rest_seconds(values, head.get("Date")) if values else 0.0
         if seconds:
             self._rest(view, connection, head, seconds, values)
         elif head.status < _FAILURES:
--- a/traystall/passthrough/health/board.py
+++ b/traystall/passthrough/health/board.py
@@ -62,6 +62,10 @@
         """Return whether it has said nowhere that it leaves."""
         return self.report.state is RegisteredState.READY and not self.asked.leaves
 
+    def may_get_work(self, now: float) -> bool:
+        """Return whether new work may be sent now, by what it has asked for and reported."""
+        return self.is_ready and self.asked.may_get_work(now)
+
     @property
     def identity(self) -> str:
         """Return the name of this life of the target."""
@@ -250,9 +254,9 @@
         return max(0.0, min((view.asked.rest_until - now for view in found), default=0.0))
 
     def held_back(self, name: str, now: float) -> set[str]:
-        """Return the names of the targets of a pool that get no work since they asked for that."""
+        """Return the names of the targets of a pool that get no work since they rest or leave."""
         known = [view for view in self._views.values() if view.report.pool == name]
-        return {view.identity for view in known if not view.asked.may_get_work(now)}
+        return {view.identity for view in known if not view.may_get_work(now)}
 
     def soonest_rested(
         self, name: str, excluded: set[str], now: float, places: tuple[str, ...] = ()
--- a/traystall/passthrough/placement/placing.py
+++ b/traystall/passthrough/placement/placing.py
@@ -128,8 +128,8 @@
         now = clock.monotonic()
         if not view.connections.has_room() or now < view.avoid_until:
             return None
-        # It may have asked while the other gateway was asked, which it does not bind.
-        return view if view.asked.may_get_work(now) else None
+        # The other gateway may not know that it leaves, and what it asks here binds only this one.
+        return view if view.may_get_work(now) else None
 
     def _held_back(self, pool) -> set[str]:
         return self._context.board.held_back(pool, clock.monotonic())
--- a/traystall/passthrough/stages/batcher.py
+++ b/traystall/passthrough/stages/batcher.py
@@ -94,7 +94,9 @@
         cell = self._cell(request)
         verdict = await self._let_in(request, cell)
         if not verdict.admitted:
-            retry_after = max(verdict.retry_after, self._after_rest(request))
+            rest = self._rest(request)
+            after_rest = self._context.after_rest(rest) if rest else 0.0
+            retry_after = max(verdict.retry_after, after_rest)
             return StageReply(
                 handles=[], reasons=[BUSY] * len(request.pieces), retry_after=retry_after
             )
@@ -106,13 +108,12 @@
             book.made(request.request_id, request.stage, self._usual_seconds(request), now)
         return reply
 
-    def _after_rest(self, request) -> float:
-        """Return when the targets of all stages have rested that rest as a whole, in seconds."""
+    def _rest(self, request) -> float:
+        """Return how long a pool of its stages rests as a whole, in seconds; 0 if none does."""
         route = self._context.index.named(request.route)
         pools = {stage.pool for stage in route.stages} if route is not None else set()
         places = tuple(request.places or ())
-        rest = max((self._context.rest_left(pool, places) for pool in pools), default=0.0)
-        return self._context.after_rest(rest) if rest else 0.0
+        return max((self._context.rest_left(pool, places) for pool in pools), default=0.0)
 
     def _home(self, request) -> StageHome:
         """Return where a stage is best made, by where its inputs lie and who reads its results."""
@@ -250,6 +251,10 @@
         began = clock.monotonic()
         patience = self._patience(request, verdict.came_back)
         waited = 0.0
+        if self._rest(request) > patience:
+            # Nothing that could happen meanwhile would let it in.
+            self._refuse(request, cell, verdict, waited)
+            return verdict
         self._wait_for_room.add(request.call_id)
         try:
             while not verdict.admitted and request.call_id in self._wait_for_room:
--- a/traystall/passthrough/stages/piece_queue.py
+++ b/traystall/passthrough/stages/piece_queue.py
@@ -163,9 +163,9 @@
         if profile is None or not self._waiting:
             return
         now = clock.monotonic()
+        self._give_up_at_rest(now)
         free = self._free_workers(profile, now)
         if not free:
-            self._give_up_at_rest(now)
             self._pump_later()
             return
         home_waits, home_rates = self._home_waits(profile, now), self._home_rates(profile, now)
