--- a/tests/passthrough/test_asking.py
+++ b/tests/passthrough/test_asking.py
@@ -227,6 +227,7 @@
 
 def test_pieces_that_were_held_back_wait_on():
     async def story(gateway, runners):
+        assert (await gateway.call("/staged/x", **PIECES))[0] == 200  # Its room is known now.
         view = gateway.context.board.view(runners[0].identity)
         acquire = view.connections.acquire
 
--- a/tests/support/emulator/runner.py
+++ b/tests/support/emulator/runner.py
@@ -66,8 +66,10 @@
         # such an answer also has the mark that the request has not run.
         self.rests = deque()
         self.rests_marked = True
-        # When it has asked for rest (monotonic seconds), and when each request has reached it.
+        # When it has asked for rest (monotonic seconds) and for how long, and when each request
+        # has reached it.
         self.asked_at = []
+        self.asked_for = []
         self.arrivals = []
         # Whether all its answers say that it leaves, and when the first one did.
         self.leaves = False
@@ -106,7 +108,7 @@
         try:
             while await self._serve_one(reader, writer):
                 await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             self._writers.discard(writer)
@@ -178,6 +180,7 @@
         extra = {"Retry-After": self.rests.popleft()} | mark
         self._answer(writer, request, 503, b"", extra, signed=False)
         self.asked_at.append(clock.monotonic())
+        self.asked_for.append(extra["Retry-After"])
 
     async def _answer_fault(self, writer, request, fault):
         body = b"answer to " + request["body"]
--- /dev/null
+++ b/tests/support/rest_soak.py
@@ -0,0 +1,177 @@
+"""Random days of targets that ask for rest, leave, fail and start again, at one gateway.
+
+    python -m tests.support.rest_soak --seeds 50
+
+What a day may break is judged from what reached the targets, not from what the gateway knows.
+"""
+
+import asyncio
+import contextlib
+import random
+
+import fire
+import msgspec
+
+from tests.support.emulator.gateway import STAGES, EmulatedGateway, table
+from tests.support.emulator.runner import Runner
+from traystall.core import clock
+from traystall.registry.models import TargetReport
+
+DAY_SECONDS = 4.0
+PER_SECOND = 60
+# What is on its way may still arrive, in seconds, and so many requests later than that.
+SLACK_SECONDS = 0.5
+MOST_IN_REST = 2
+PIECES = {"Traystall-Pieces": "2,1", "Traystall-Piece-Key": "pk"}
+PATHS = ("/again/x", "/once/x", "/events/x", "/staged/x")
+FAULTS = ("failed", "shed without the mark", "closed after running", "not run", "garbage")
+STATUSES = {200, 500, 502, 503, 504}
+UPKEEP = ("/pieces/free", "/report")
+
+
+class Life(msgspec.Struct):
+    """Hold what one life of a target has asked for, and what reached it."""
+
+    name: str
+    rests: list[tuple[float, float]]
+    left_at: float | None
+    arrivals: list[tuple[float, str]]
+
+    def broken(self) -> list[str]:
+        """Return what reached it against its word."""
+        found = []
+        for at, seconds in self.rests:
+            inside = [p for t, p in self.arrivals if at + SLACK_SECONDS < t < at + seconds]
+            if len(inside) > MOST_IN_REST:
+                found.append(f"{self.name}: {len(inside)} in a rest of {seconds} s, {set(inside)}")
+        if self.left_at is not None:
+            late = [
+                path
+                for t, path in self.arrivals
+                if t > self.left_at + SLACK_SECONDS and not path.endswith(UPKEEP)
+            ]
+            if late:
+                found.append(f"{self.name}: {len(late)} after it said that it leaves, {set(late)}")
+        return found
+
+
+class Day:
+    """Play one day."""
+
+    def __init__(self, seed: int):
+        self._random = random.Random(seed)
+        self._runners: dict[str, tuple[str, Runner]] = {}
+        self._started: dict[str, int] = {}
+        self._lives: list[Life] = []
+        self._wrong: list[str] = []
+
+    async def play(self) -> list[str]:
+        """Return what went wrong."""
+        for pool, count in {"plain": 3, "engine": 2, "batches": 3}.items():
+            for number in range(count):
+                name = f"{pool}-{number}"
+                events = 3 if pool == "engine" else 0
+                runner = await Runner(name, events=events).start()
+                self._runners[name] = (pool, runner)
+        async with EmulatedGateway(table(stages=STAGES), []) as self._gateway:
+            for name in self._runners:
+                self._report(name, 1000)
+            trouble = asyncio.create_task(self._trouble())
+            calls = []
+            for _ in range(int(DAY_SECONDS * PER_SECOND)):
+                calls.append(asyncio.create_task(self._call()))
+                await asyncio.sleep(1 / PER_SECOND)
+            trouble.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await trouble
+            await asyncio.gather(*calls)
+        for name, (_, runner) in self._runners.items():
+            self._end_life(name)
+            await runner.stop()
+        return self._wrong + [line for life in self._lives for line in life.broken()]
+
+    def _report(self, name, started):
+        pool, runner = self._runners[name]
+        self._started[name] = started
+        report = TargetReport(name, pool, runner.address, "here", slots=4, started=started)
+        self._gateway.context.board.merge(report, clock.monotonic())
+
+    async def _call(self):
+        path = self._random.choice(PATHS)
+        headers = PIECES if path.startswith("/staged") else {}
+        status, _, body = await self._gateway.call(path, **headers)
+        if status not in STATUSES:
+            self._wrong.append(f"{path}: {status}")
+        if status == 200 and "plain" in path and body != b"answer to hello":
+            self._wrong.append(f"{path}: {body!r}")
+
+    async def _trouble(self):
+        events = (self._rest, self._rest, self._rest, self._leave, self._fail, self._start_again)
+        while True:
+            await asyncio.sleep(self._random.uniform(0.05, 0.2))
+            await self._random.choice((*events, self._evacuate))(
+                self._random.choice(list(self._runners))
+            )
+
+    async def _rest(self, name):
+        _, runner = self._runners[name]
+        runner.rests.append(str(round(self._random.uniform(0.6, 2.5), 2)))
+        runner.rests_marked = self._random.random() < 0.7
+
+    async def _leave(self, name):
+        self._runners[name][1].leaves = True
+
+    async def _fail(self, name):
+        pool, runner = self._runners[name]
+        if pool == "plain":
+            runner.faults.append(self._random.choice(FAULTS))
+
+    async def _evacuate(self, name):
+        self._gateway.evacuate("here")
+        await asyncio.sleep(0.02)
+        self._gateway.evacuate()
+
+    async def _start_again(self, name):
+        """End a target; its next life is known at once, or after its first answers."""
+        _, runner = self._runners[name]
+        runner.end()
+        self._end_life(name)
+        await asyncio.sleep(self._random.uniform(0.0, 0.1))
+        await runner.start_again()
+        if self._random.random() < 0.5:
+            await asyncio.sleep(0.15)
+        self._report(name, self._started[name] + 1000)
+
+    def _end_life(self, name):
+        _, runner = self._runners[name]
+        rests = list(zip(runner.asked_at, map(float, runner.asked_for), strict=True))
+        life = Life(f"{name}@{self._started[name]}", rests, runner.left_at, runner.arrivals)
+        self._lives.append(life)
+        runner.rests.clear()
+        runner.asked_at, runner.asked_for, runner.arrivals = [], [], []
+        runner.leaves, runner.left_at = False, None
+
+
+def play_day(seed: int) -> list[str]:
+    """Return what went wrong on the day of a seed."""
+
+    async def bounded():
+        async with asyncio.timeout(DAY_SECONDS * 5):
+            return await Day(seed).play()
+
+    return asyncio.run(bounded())
+
+
+def main(seeds: int = 10, first: int = 1) -> None:
+    """Play SEEDS days from the seed FIRST on, and print what went wrong."""
+    broken = 0
+    for seed in range(first, first + seeds):
+        found = play_day(seed)
+        broken += bool(found)
+        for line in found:
+            print(f"seed {seed}: {line}", flush=True)
+    print(f"{seeds} days, {broken} with something broken")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
