--- /dev/null
+++ b/benchmarks/rests.py
@@ -0,0 +1,64 @@
+"""Measure what keeping to the word of targets costs a request at one gateway.
+
+    python -m benchmarks.rests [--targets 640] [--calls 2000]
+
+Printed are microseconds of processor for each look at a pool of so many targets, a hundredth of
+them at rest, and for the head of one answer with a dozen headers.
+"""
+
+import random
+import time
+
+import fire
+
+from traystall.core import clock
+from traystall.passthrough.dialect import HeaderNames
+from traystall.passthrough.exchange.connection import ResponseHead, TargetConnection
+from traystall.passthrough.health.asking import AskingWatch
+from traystall.passthrough.health.board import TargetBoard
+from traystall.passthrough.health.places import DataCentreWatch
+from traystall.registry.models import TargetReport
+
+_RESTING_PART = 100
+_REST_SECONDS = 3000.0
+
+
+def make_board(targets: int) -> TargetBoard:
+    """Return a board with one pool of so many targets, a hundredth of them at rest."""
+    now = clock.monotonic()
+    board = TargetBoard(random.Random(1), lambda pool: 10, DataCentreWatch("here"))
+    for number in range(targets):
+        address = f"10.0.{number // 250}.{number % 250}:80"
+        board.merge(TargetReport(f"t{number}", "p", address, "here", slots=4), now)
+        if number % _RESTING_PART == 0:
+            board.view(f"t{number}").asked.ask_rest(_REST_SECONDS, "r", now)
+    return board
+
+
+def microseconds(call, calls: int) -> float:
+    """Return the processor time of one call, the mean of `calls`."""
+    began = time.process_time()
+    for _ in range(calls):
+        call()
+    return (time.process_time() - began) / calls * 1e6
+
+
+def main(targets: int = 640, calls: int = 2000) -> None:
+    """Print the cost of each look."""
+    board = make_board(targets)
+    now = clock.monotonic()
+    watch = AskingWatch(HeaderNames(), lambda: None)
+    head = ResponseHead(200, [(b"X-Header-%d" % n, b"value") for n in range(12)])
+    connection, view = TargetConnection(), board.view("t1")
+    looks = {
+        "targets to which work may go": lambda: board.usable("p", now, now),
+        "whether a pool rests as a whole": lambda: board.rest_left("p", now),
+        "whom another gateway shall not choose": lambda: board.held_back("p", now),
+        "head of an answer": lambda: watch.heard(view, connection, head),
+    }
+    for name, look in looks.items():
+        print(f"{name}: {microseconds(look, calls):.1f} us")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
