--- a/tests/gateway/test_targets_at_rest.py
+++ b/tests/gateway/test_targets_at_rest.py
@@ -4,6 +4,7 @@
 import logging
 
 import pytest
+from multidict import CIMultiDict
 
 from tests.support.gateway_bench import PLACE, GatewayBench, engine_stage, service_stage
 from tests.support.raw_target import RawTarget
@@ -12,6 +13,7 @@
 from traystall.gateway.lookups import LookUps
 from traystall.gateway.news import note_asked
 from traystall.systems.membership import PresenceReport, on_report
+from traystall.tables.asked import FIRST_AFTER_REST
 from traystall.tables.targets import TargetRow
 
 REST_SECONDS = 2.0
@@ -142,6 +144,47 @@
     play(story, service_stage(), targets=1)
 
 
+def test_few_are_sent_first_after_a_rest():
+    async def story(bench, targets):
+        row = row_of(bench, 0)
+        row.share = 20
+        targets[0].faults = ["answered late"] * FIRST_AFTER_REST
+        row.asked.ask_rest(0.1, "", clock.monotonic())
+        calls = [asyncio.create_task(bench.ask(f"mark {n}")) for n in range(10)]
+        await asyncio.sleep(0.5)
+        assert len(targets[0].seen) == FIRST_AFTER_REST
+        assert {status for status, _ in await asyncio.gather(*calls)} == {200}
+        assert (row.asked.first, row.asked.is_returning) == (0, False)
+
+    play(story, service_stage(), targets=1, deadline=6.0)
+
+
+def test_shorter_rest_that_is_asked_later_is_waited_for():
+    async def story(bench, targets):
+        first, second = row_of(bench, 0), row_of(bench, 1)
+        first.asked.ask_rest(3.0, "", clock.monotonic())
+        second.asked.ask_rest(3.0, "", clock.monotonic())
+        call = asyncio.create_task(bench.ask("mark"))
+        await asyncio.sleep(0.1)
+        second.asked.lift()
+        second.asked.ask_rest(0.3, "", clock.monotonic())
+        other = asyncio.create_task(bench.ask("other"))
+        began = clock.monotonic()
+        assert {(await call)[0], (await other)[0]} == {200}
+        assert clock.monotonic() - began < 1.0
+
+    play(story, service_stage(), deadline=8.0)
+
+
+def test_limit_on_how_often_it_is_asked_is_kept_as_a_rest():
+    async def story(bench, targets):
+        row = row_of(bench, 0)
+        note_asked(row, 429, CIMultiDict({"Retry-After": "31"}))
+        assert row.asked.rests(clock.monotonic() + 30.5)
+
+    play(story, service_stage())
+
+
 def test_end_of_a_rest_is_logged_and_counted(caplog):
     caplog.set_level(logging.INFO, DECISION_LOGGER)
 
--- a/traystall/gateway/dispatch.py
+++ b/traystall/gateway/dispatch.py
@@ -66,8 +66,9 @@
             self.waits.record(pool, clock.monotonic() - waiter.since)
             self._forget(waiter)
 
-    def release(self, row: TargetRow, priority: PriorityClass) -> None:
-        """Give a slot back and hand it to whoever waits."""
+    def release(self, row: TargetRow, priority: PriorityClass, is_first: bool = False) -> None:
+        """Give a slot back and hand it to whoever waits; `is_first` as the waiter had it."""
+        row.asked.on_over(is_first)
         row.give_back(priority)
         self.assign(row.target.pool)
 
@@ -110,6 +111,7 @@
             self._assign_after_rest(waiter.stage.pool, found, now)
             return
         choice.row.take(waiter.priority)
+        waiter.is_first = choice.row.asked.on_sent()
         breakers.on_sent(choice.row.breaker)
         self._fair.charge(waiter.customer)
         decision(
@@ -127,9 +129,15 @@
     def _assign_after_rest(self, pool, rows, now):
         """Look again when the next target has rested: nothing else may happen until then."""
         rests = [row.asked.rest_until - now for row in rows if row.asked.rests(now)]
-        if rests and pool not in self._after_rest:
-            loop = asyncio.get_running_loop()
-            self._after_rest[pool] = loop.call_later(min(rests), self._on_rested, pool)
+        if not rests:
+            return
+        loop = asyncio.get_running_loop()
+        held = self._after_rest.get(pool)
+        if held is not None and held.when() <= loop.time() + min(rests):
+            return
+        if held is not None:
+            held.cancel()
+        self._after_rest[pool] = loop.call_later(min(rests), self._on_rested, pool)
 
     def _on_rested(self, pool):
         del self._after_rest[pool]
@@ -141,7 +149,7 @@
         if grant.done() and not grant.cancelled() and grant.exception() is None:
             row = grant.result()
             breakers.on_abandoned(row.breaker)
-            self.release(row, waiter.priority)
+            self.release(row, waiter.priority, waiter.is_first)
 
     def _forget(self, waiter):
         waiters = self._waiters[waiter.stage.pool]
--- a/traystall/gateway/lookups.py
+++ b/traystall/gateway/lookups.py
@@ -40,15 +40,17 @@
 
     async def _ask(self, target, key):
         row = self._context.targets.get(target.name)
-        if row is None or row.asked.rests(clock.monotonic()):
+        if row is not None and row.asked.rests(clock.monotonic()):
             return None
+
+        def on_head(status, headers):
+            if row is not None:
+                note_asked(row, status, headers)
+
         url = f"http://{target.address}{target.lookup}"
         try:
             document = await self._context.http.get_json(
-                url,
-                _ASK_SECONDS,
-                {KEY_HEADER: key},
-                lambda status, headers: note_asked(row, status, headers),
+                url, _ASK_SECONDS, {KEY_HEADER: key}, on_head
             )
         except TargetError:
             return None
--- a/traystall/gateway/news.py
+++ b/traystall/gateway/news.py
@@ -8,6 +8,9 @@
 from traystall.systems.rests import RETRY_AFTER, TURNED_AWAY, rest_seconds
 from traystall.tables.targets import TargetRow
 
+# Status of an answer by which a target limits how often it is asked.
+_TOO_MANY = 429
+
 
 def note_presence(target: TargetRow, report: membership.PresenceReport) -> None:
     """Take in a report of a target's presence and log it if it changed anything."""
@@ -23,7 +26,7 @@
 
 def note_asked(target: TargetRow, status: int, headers: Mapping, request: str = "") -> None:
     """Take in what the head of any answer of a target asks for."""
-    if status != TURNED_AWAY:
+    if status not in (TURNED_AWAY, _TOO_MANY):
         return
     now = clock.monotonic()
     seconds = rest_seconds(headers.getall(RETRY_AFTER, []), headers.get("Date"))
--- a/traystall/gateway/stages.py
+++ b/traystall/gateway/stages.py
@@ -96,7 +96,9 @@
             next_pool=run.next_pool,
         )
         try:
-            return await self._context.dispatcher.acquire(waiter)
+            target = await self._context.dispatcher.acquire(waiter)
+            run.is_first = waiter.is_first
+            return target
         except NoCandidate as error:
             raise Refusal(problems.NO_TARGET, f"Stage {stage.name}: {error}", 2) from error
         except TooLateToStart as error:
@@ -146,7 +148,6 @@
         run.resumed_from = len(run.tokens)
         run.record.attempts += 1
         started = run.attempt_started = clock.monotonic()
-        is_first = target.asked.on_sent()
         try:
             reply = await kinds.run(self._context.http, self._call(run, target, started))
             self._learner.on_success(run, target, reply, clock.monotonic() - started)
@@ -155,9 +156,8 @@
             self._learner.on_waste(run, target, error, clock.monotonic() - started)
             raise
         finally:
-            target.asked.on_over(is_first)
             breakers.on_abandoned(target.breaker)
-            self._context.dispatcher.release(target, row.priority)
+            self._context.dispatcher.release(target, row.priority, run.is_first)
 
     def _call(self, run, target, now) -> Call:
         row = run.row
--- a/traystall/systems/queues.py
+++ b/traystall/systems/queues.py
@@ -31,6 +31,8 @@
     # Pool of the following stage, empty for the last one.
     next_pool: str = ""
     grant: object = None
+    # Whether it was granted as one of the first after a rest of its target.
+    is_first: bool = False
 
 
 class WaitTimes:
