--- a/tests/passthrough/test_asking.py
+++ b/tests/passthrough/test_asking.py
@@ -416,6 +416,21 @@
     play(story, {"plain": 1})
 
 
+def test_pool_whose_targets_all_leave_refuses_at_once():
+    async def story(gateway, runners):
+        for runner in runners:
+            runner.leaves = True
+        for _ in runners:
+            assert (await gateway.call())[0] == 200
+        began = clock.monotonic()
+        status, headers, _ = await gateway.call()
+        assert clock.monotonic() - began < AT_ONCE_SECONDS
+        assert status == 503 and float(headers["Retry-After"]) > 0
+        assert sum(len(runner.arrivals) for runner in runners) == len(runners)
+
+    play(story, {"plain": 2})
+
+
 # ---- with what landed before ----
 
 
