The lone limited worker is a regression case again

Cause: the mend of limits for all gateways took the word of a lone worker out of its regression test, since no request came as far as the engine there. Ruled out: asking the same of the engine; its stages alone take longer than it may. Change: a case of its own, six gateways, one target of each pool, all of them limited. Conclusion: the limit of a lone worker is held again by a test over several gateways.

--- a/tests/passthrough/test_targets_that_name_a_limit.py
+++ b/tests/passthrough/test_targets_that_name_a_limit.py
@@ -66,3 +66,23 @@
             assert set(found) <= ({200} if others else {200, 503}), path
 
     play(tmp_path, story, GATEWAYS)
+
+
+def test_all_gateways_together_keep_to_the_limit_of_a_lone_worker(tmp_path):
+    """No stage is made elsewhere: what its calls, releases and reports are all comes from one."""
+
+    async def story(site):
+        kinds = {"plain": {}, "engine": {"events": 3}, "batches": {"batch": 4}}
+        limited = {pool: await site.add(pool, **options) for pool, options in kinds.items()}
+        await site.group.apply_entities("a", 1, entities())
+        await site.until_all("/plain/x", 200)
+        for runner in limited.values():
+            runner.limit = str(LIMIT)
+        statuses = await press(site, PRESSED_SECONDS)
+        most = {pool: r.most_within(SPAN_SECONDS, KNOWN_SECONDS) for pool, r in limited.items()}
+        assert max(most.values()) <= ALLOWED, most
+        assert most["batches"] > 0, most
+        assert most["plain"] > 0, most
+        assert all(set(found) <= {200, 503} for found in statuses.values()), statuses
+
+    play(tmp_path, story, GATEWAYS)
