--- a/benchmarks/account.py
+++ b/benchmarks/account.py
@@ -19,6 +19,7 @@
 # Windows that earn less than this part of what is owed are listed.
 _WEAK_WINDOW = 0.85
 _PIECES = "pieces"
+_PASSED = "passed"
 _NOT_ADMITTED = "not-admitted"
 
 
@@ -63,6 +64,7 @@
         with Path(log).open(errors="replace") as lines:
             records = list(decisions(lines))
         _print_calls(records)
+        _print_stages(records)
         _print_refusals(records)
 
 
@@ -90,6 +92,38 @@
     return fills
 
 
+class StageTimes(msgspec.Struct):
+    """Hold how long a stage of one route took, request by request, in milliseconds."""
+
+    seconds: list[float] = []
+    waited: list[float] = []
+    called: list[float] = []
+    handed_over: list[float] = []
+
+    def add(self, seconds: float, waited: float, called: float) -> None:
+        """Count one stage of one request; what its call leaves of it is the hand-over."""
+        self.seconds.append(seconds)
+        self.waited.append(waited)
+        self.called.append(called)
+        self.handed_over.append(seconds - waited - called)
+
+
+def times_of_stages(records: list[dict]) -> dict[tuple[str, int], StageTimes]:
+    """Return the times of the stages of each route."""
+    times: dict[tuple[str, int], StageTimes] = {}
+    for record in records:
+        if record.get("message") == _PASSED:
+            for stage, *figures in record.get("stages") or ():
+                times.setdefault((record["route"], stage), StageTimes()).add(*figures)
+    return times
+
+
+def part_of(values: list[float], part: float) -> float:
+    """Return the value that `part` of the values don't exceed."""
+    ranked = sorted(values)
+    return ranked[min(len(ranked) - 1, int(len(ranked) * part))]
+
+
 def refusals(records: list[dict]) -> Counter[tuple[str, bool]]:
     """Count refusals before the first stage by route, and whether the caller had come back."""
     return Counter(
@@ -131,6 +165,18 @@
         )
 
 
+def _print_stages(records):
+    print("\n| stage, ms (10, 50, 90 of 100) | made | in all | waited | called | handed over |")
+    print("|---|---|---|---|---|---|")
+    for (route, stage), times in sorted(times_of_stages(records).items()):
+        columns = (times.seconds, times.waited, times.called, times.handed_over)
+        cells = [
+            ", ".join(f"{part_of(values, part):.0f}" for part in (0.1, 0.5, 0.9))
+            for values in columns
+        ]
+        print(f"| {route} {stage} | {len(times.seconds)} | {' | '.join(cells)} |")
+
+
 def _print_refusals(records):
     print("\n| refused before its stages | first | after coming back |\n|---|---|---|")
     counts = refusals(records)
--- a/benchmarks/admission_cost.py
+++ b/benchmarks/admission_cost.py
@@ -18,7 +18,7 @@
 
 
 def _loads(rate):
-    return {pool: PoolLoad(lambda priority: 40, rate, 0.2) for pool in "abc"}
+    return {pool: PoolLoad(lambda priority, due: 40, rate, 0.2) for pool in "abc"}
 
 
 def measure(under_way: int) -> float:
--- a/tests/benchmarks/test_account.py
+++ b/tests/benchmarks/test_account.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from benchmarks.account import account, decisions, fill_of_calls, refusals
+from benchmarks.account import account, decisions, fill_of_calls, part_of, refusals, times_of_stages
 from tests.benchmarks.test_compare import BODY
 
 
@@ -23,6 +23,9 @@
     call(7, 0),
     call(3, 7, "t-2"),
     call(2, 6),
+    line("passed", route="r", stages=[[0, 300, 100, 190], [1, 500, 20, 400]]),
+    line("passed", route="r", stages=[[0, 400, 10, 380]]),
+    line("passed", route="plain", stages=[]),
     line("not-admitted", route="r", came_back=False),
     line("not-admitted", route="r", came_back=True),
     line("not-admitted", route="r", came_back=True),
@@ -30,7 +33,7 @@
 
 
 def test_lines_that_are_no_records_are_passed_over():
-    assert len(list(decisions(LOG))) == 6
+    assert len(list(decisions(LOG))) == 9
 
 
 def test_calls_are_summed_by_pool():
@@ -44,6 +47,15 @@
     assert refusals(list(decisions(LOG))) == {("r", False): 1, ("r", True): 2}
 
 
+def test_times_of_stages_say_what_was_waited_called_and_handed_over():
+    times = times_of_stages(list(decisions(LOG)))
+    assert times.keys() == {("r", 0), ("r", 1)}
+    assert times["r", 0].seconds == [300, 400]
+    assert times["r", 0].handed_over == [10, 10]
+    assert part_of(times["r", 0].waited, 0.9) == 100
+    assert part_of(times["r", 0].waited, 0.1) == 10
+
+
 def test_the_whole_account_is_printed(tmp_path, capsys):
     (tmp_path / "r.json").write_bytes(msgspec.json.encode(BODY))
     (tmp_path / "log.txt").write_text("".join(LOG))
@@ -51,4 +63,5 @@
     printed = capsys.readouterr().out
     assert "| whole day | 0.080 |" in printed
     assert "| p | 2 | 3 | 4.0 | 7 | 1 | 1 |" in printed
+    assert "| r 1 | 1 | 500, 500, 500 | 20, 20, 20 | 400, 400, 400 | 80, 80, 80 |" in printed
     assert "| r | 1 | 2 |" in printed
--- a/tests/conf/test_settings.py
+++ b/tests/conf/test_settings.py
@@ -66,6 +66,9 @@
         ("--control=127.0.0.1", "settings.E010"),
         ("--max-body-bytes=0", "settings.E011"),
         ("--control=", "settings.E030"),
+        ("--size=-1", "settings.E032"),
+        ("--size=inf", "settings.E032"),
+        ("--size=nan", "settings.E032"),
         ("--index=-1", "settings.E031"),
     ],
 )
--- a/tests/passthrough/test_admission.py
+++ b/tests/passthrough/test_admission.py
@@ -19,7 +19,7 @@
     return Arrival(name, ROUTE, counts, priority, slack, 6.0, mark or name)
 
 
-def nothing(pool, priority):
+def nothing(pool, priority, due):
     return 0
 
 
@@ -42,7 +42,7 @@
 
 
 def test_refusal_says_when_to_come_back():
-    verdict = admit(AdmissionBook(), arrival("a"), lambda pool, priority: 400, RATES, 0.0)
+    verdict = admit(AdmissionBook(), arrival("a"), lambda pool, priority, due: 400, RATES, 0.0)
     assert not verdict.admitted
     assert 0.2 <= verdict.retry_after <= 2.0
 
@@ -50,11 +50,11 @@
 def test_request_that_has_begun_goes_through():
     book = AdmissionBook()
     assert admit(book, arrival("a"), nothing, RATES, 0.0).admitted
-    assert admit(book, arrival("a"), lambda pool, priority: 10**6, RATES, 1.0).admitted
+    assert admit(book, arrival("a"), lambda pool, priority, due: 10**6, RATES, 1.0).admitted
 
 
 def test_request_that_came_back_waits_until_there_is_plenty():
-    def waiting(pool, priority):
+    def waiting(pool, priority, due):
         return pieces if pool == "p" else 0
 
     book = AdmissionBook()
@@ -72,7 +72,7 @@
 
 
 def test_long_prompt_without_slack_is_let_in_while_others_are():
-    def waiting(pool, priority):
+    def waiting(pool, priority, due):
         return 6 if pool == "p" else 0
 
     assert admit(AdmissionBook(), arrival("a", slack=-0.4), waiting, RATES, 0.0).admitted
@@ -98,7 +98,7 @@
     book = AdmissionBook()
     for i in range(60):
         began = i * 0.1
-        verdict = admit(book, arrival(str(i)), lambda pool, priority: 8, RATES, began)
+        verdict = admit(book, arrival(str(i)), lambda pool, priority, due: 8, RATES, began)
         if not verdict.admitted:
             break
         for stage in (0, 1):
--- a/tests/passthrough/test_forecast.py
+++ b/tests/passthrough/test_forecast.py
@@ -109,7 +109,7 @@
 @given(REQUESTS, st.integers(0, 300), st.floats(0.0, 200.0))
 def test_nobody_is_let_in_to_be_late_or_asked_back_too_late(requests, waiting, rate):
     book = AdmissionBook()
-    loads = {pool: PoolLoad(lambda priority: waiting, rate, 0.2) for pool in ("p", "q")}
+    loads = {pool: PoolLoad(lambda priority, due: waiting, rate, 0.2) for pool in ("p", "q")}
     now = 0.0
     for number, (pause, slack, priority, left) in enumerate(requests):
         now += pause
@@ -124,7 +124,7 @@
 @pytest.mark.parametrize("rates", [(0.0, 0.0), (0.0, 9.0), (9.0, 0.0), (1e-300, 9.0)])
 def test_pool_without_targets_lets_nobody_in(rates):
     loads = {
-        pool: PoolLoad(lambda priority: 5, rate, 0.2)
+        pool: PoolLoad(lambda priority, due: 5, rate, 0.2)
         for pool, rate in zip(("p", "q"), rates, strict=True)
     }
     verdict = AdmissionBook().admit(Arrival("r", ROUTE, (1, 8), 1, 5.0, 6.0, "m"), loads, 0.0)
--- a/tests/passthrough/test_owners.py
+++ b/tests/passthrough/test_owners.py
@@ -228,3 +228,55 @@
         return status, first.told, other.told
 
     assert run(play()) == (200, ["started", "ended"], [])
+
+
+def sized(name, size, data_centre="here"):
+    return msgspec.structs.replace(row(name), size=size, data_centre=data_centre)
+
+
+KEYS = [f"k{number}" for number in range(60)]
+
+
+def test_the_largest_gateways_own_what_one_does_for_all(now):
+    rows = [
+        *(sized(f"large{n}", 1.25) for n in range(4)),
+        *(sized(f"s{n}", 0.375) for n in "abcdef"),
+    ]
+    owners = [rank(rows, key, now.time)[0] for key in KEYS]
+    assert {owner.rstrip("0123456789/") for owner in owners} == {"large"}
+    assert len(set(owners)) == 4, "they share it"
+
+
+def test_small_ones_follow_when_the_large_ones_are_gone(now):
+    rows = [sized("large", 1.25), *(sized(f"s{n}", 0.375) for n in "abc")]
+    for key in KEYS:
+        order = rank(rows, key, now.time)
+        assert order[1:] == rank(rows[1:], key, now.time)
+
+
+def test_a_gateway_of_an_earlier_release_counts_as_the_smallest(now):
+    rows = [sized("old", 0.0), sized("new", 0.375)]
+    assert {rank(rows, key, now.time)[0] for key in KEYS} == {"new/1"}
+
+
+@pytest.mark.parametrize("sizes", [(0.0, 0.0, 0.0), (0.5, 0.5, 0.5), (0.5, 0.45, 0.4)])
+def test_gateways_about_alike_own_as_if_none_had_said(sizes, now):
+    rows = [sized(name, size) for name, size in zip("abc", sizes, strict=True)]
+    plain = [row(name) for name in "abc"]
+    assert all(rank(rows, key, now.time) == rank(plain, key, now.time) for key in KEYS)
+
+
+def test_place_goes_before_size(now):
+    rows = [sized("far", 9.0, "there"), sized("near", 0.1)]
+    assert rank(rows, "k", now.time, ("here",)) == ["near/1"]
+
+
+def test_restarts_in_turn_move_little(now):
+    """At 72 gateways of three sizes a restart moves only what the restarted one owned."""
+    rows = [sized(f"g{n}", (0.375, 0.75, 1.25)[n % 3]) for n in range(72)]
+    before = {key: rank(rows, key, now.time)[0] for key in KEYS}
+    for gone in rows:
+        left = [other for other in rows if other is not gone]
+        after = {key: rank(left, key, now.time)[0] for key in KEYS}
+        moved = {key for key in KEYS if after[key] != before[key]}
+        assert all(before[key] == gone.identity for key in moved)
--- /dev/null
+++ b/tests/support/crowd.py
@@ -0,0 +1,442 @@
+"""Replay a crowd of staged requests through pools with room for results.
+
+Only time is simulated: what waits is ordered and batched by `batching.take_batch`, who may begin
+is decided by the admission book, as in the daemon. One cell, one data centre. A call takes as long
+as its profile says; the pieces of one stage end together; what a request holds is given up when its
+last reader has read it. Callers heed Retry-After once, repeaters come back at once.
+"""
+
+import heapq
+import itertools
+import random
+from collections import Counter
+
+import msgspec
+
+from traystall.admission.patience import shared_pools
+from traystall.passthrough.admission.book import AdmissionBook, Arrival
+from traystall.passthrough.admission.forecast import PoolLoad
+from traystall.passthrough.stages.batching import FreeTarget, PieceJob, take_batch
+from traystall.passthrough.stages.pace import begins_at
+from traystall.routes.models import BatchProfile, Pool, Route, Split, StagePlan
+
+# How often a request that waits to be let in asks again, and how long it waits at the most, in
+# seconds and as a part of its aim: as in the batcher.
+ASK_SECONDS = 0.05
+PATIENCE_PART = 0.2
+# From one stage's end to the next one's arrival in its queue, in seconds: two hops each way.
+HAND_OVER_SECONDS = 0.012
+# A gateway that batches is missed after so long, in seconds.
+MISSED_SECONDS = 0.5
+# Repeaters come back so often, after so many seconds.
+REPEATS = 3
+REPEAT_SECONDS = 0.05
+
+IN_TIME = "in time"
+LATE = "late"
+REFUSED_AT_ONCE = "refused at once"
+REFUSED_LATE = "refused late"
+LOST = "begun and lost"
+
+
+class CrowdKind(msgspec.Struct, frozen=True):
+    """Describe one kind: its route, requests a second, and pieces of each stage as (mean, share).
+
+    `engine_seconds` is what it needs after its stages.
+    """
+
+    route: Route
+    rate: float
+    pieces: tuple[tuple[float, float], ...]
+    engine_seconds: float
+    deadline: float = 6.0
+
+    def draw(self, chance: random.Random) -> tuple[int, ...]:
+        """Return the pieces of one request; at least one in all."""
+        counts = [
+            max(1, round(chance.gauss(mean, mean * 0.3))) if chance.random() < share else 0
+            for mean, share in self.pieces
+        ]
+        return tuple(counts)
+
+
+class Fate(msgspec.Struct):
+    """Tell what became of one request, as its caller sees it over all its tries."""
+
+    kind: str
+    customer: str
+    at: float
+    outcome: str = REFUSED_LATE
+    stages_seconds: float = 0.0
+
+
+class CrowdWorker(msgspec.Struct, eq=False):
+    """Hold one target: when it is free, how slow it is, the bytes that it holds."""
+
+    free_at: float = 0.0
+    ratio: float = 1.0
+    taken: int = 0
+    life: int = 0
+
+
+class CrowdPool:
+    """Hold one pool: its targets and what waits for them."""
+
+    def __init__(self, targets: int, profile: BatchProfile):
+        self.workers = [CrowdWorker() for _ in range(targets)]
+        self.profile = profile
+        self.waiting: list[PieceJob] = []
+        self.calls: list[int] = []
+        self.last_began = float("-inf")
+        self.call_seconds = profile.seconds(1)
+        self.timer = float("-inf")
+
+    def rate(self, now: float) -> float:
+        """Return the pieces a second that its targets make with full calls."""
+        full = self.profile.batch / self.profile.seconds(self.profile.batch)
+        return full * sum(1 / w.ratio for w in self.workers if w.free_at < now + 2.0)
+
+    def load(self, now: float) -> PoolLoad:
+        """Return what admission is told of this pool."""
+
+        def waiting(priority, due=float("inf")):
+            return sum(1 for job in self.waiting if job.priority <= priority and job.due <= due)
+
+        return PoolLoad(waiting, self.rate(now), self.profile.seconds(self.profile.batch))
+
+
+class _Request(msgspec.Struct, eq=False):
+    kind: CrowdKind
+    fate: Fate
+    name: str
+    counts: tuple[int, ...]
+    since: float
+    repeats: int
+    asked_at: float = 0.0
+    stage: int = 0
+    left: int = 0
+    began: bool = False
+    over: bool = False
+    held: list = msgspec.field(default_factory=list)
+    made: list = msgspec.field(default_factory=list)
+
+
+class Crowd:
+    """Play arrivals of some kinds and customers by a seed."""
+
+    def __init__(self, pools, kinds, seed=1, shared=None, customers=16, skew=1.2):
+        self.pools: dict[str, CrowdPool] = pools
+        self.kinds: list[CrowdKind] = kinds
+        self.book = AdmissionBook()
+        if shared is None:
+            tables = {name: Pool(name, batches=pool.profile) for name, pool in pools.items()}
+            shared = shared_pools([kind.route for kind in kinds], tables)
+        self.shared: frozenset[str] = shared
+        self.fates: list[Fate] = []
+        self.repeaters: set[str] = set()
+        self._customers = [f"c{i}" for i in range(customers)]
+        self._weights = [1 / (i + 1) ** skew for i in range(customers)]
+        self._random = random.Random(seed)
+        self._events: list = []
+        self._order = itertools.count()
+        self._jobs: dict[str, _Request] = {}
+
+    def run(self, seconds: float, factor, faults=()) -> list[Fate]:
+        """Play so many seconds; `factor(kind, time)` is how much more than usual comes.
+
+        `faults` are pairs of a time and what is called with this crowd and that time.
+        """
+        for kind in self.kinds:
+            time = 0.0
+            while time < seconds:
+                most = kind.rate * 3.0
+                time += self._random.expovariate(most)
+                if self._random.random() < kind.rate * factor(kind.route.name, time) / most:
+                    self.at(time, lambda now, kind=kind: self._arrive(kind, now))
+        for time, fault in faults:
+            self.at(time, lambda now, fault=fault: fault(self, now))
+        while self._events:
+            time, _, step = heapq.heappop(self._events)
+            step(time)
+        return self.fates
+
+    def at(self, time, step):
+        """Call `step(time)` then."""
+        heapq.heappush(self._events, (time, next(self._order), step))
+
+    # ---- faults ----
+
+    def crash(self, pool: str, count: int, seconds: float):
+        """Return a fault that ends targets of a pool for a while, with what they make and hold."""
+
+        def fault(now):
+            for worker in self.pools[pool].workers[:count]:
+                worker.free_at, worker.taken = now + seconds, 0
+                worker.life += 1
+
+        return lambda _, now: fault(now)
+
+    def slow(self, pool: str, count: int, ratio: float):
+        """Return a fault that makes targets of a pool slower from then on."""
+
+        def fault(_, now):
+            for worker in self.pools[pool].workers[:count]:
+                worker.ratio = ratio
+
+        return fault
+
+    def lose_batcher(self, _, now):
+        """Lose what the batching gateway knows: who waits asks another one anew."""
+        waits = self.book.waits(now)
+        self.book = AdmissionBook()
+        self.book.take_over(waits, 0.2, now)
+        for pool in self.pools.values():
+            pool.waiting = []
+        for request in list(self._jobs.values()):
+            if request.began and not request.over and request.left:
+                request.left = 0
+                self.at(now + MISSED_SECONDS, lambda at, r=request: self._admit(r, at))
+
+    # ---- a request ----
+
+    def _arrive(self, kind, now):
+        customer = self._random.choices(self._customers, self._weights)[0]
+        fate = Fate(kind.route.name, customer, now)
+        self.fates.append(fate)
+        repeats = REPEATS if customer in self.repeaters else 1
+        name = f"{kind.route.name}{len(self.fates)}"
+        counts = kind.draw(self._random)
+        self._ask(_Request(kind, fate, name, counts, now, repeats, asked_at=now), now)
+
+    def _ask(self, request, now):
+        if not any(request.counts):
+            self._end(request, now)
+            return
+        verdict = self._admit(request, now)
+        if verdict is None or verdict.admitted:
+            return
+        waited = now - request.asked_at
+        patience = request.kind.route.aim * PATIENCE_PART
+        if waited + max(ASK_SECONDS, verdict.seconds_to_turn) <= patience:
+            self.at(now + ASK_SECONDS, lambda at: self._ask(request, at))
+            return
+        self.book.refuse(request.name, now)
+        in_quarter = waited <= request.kind.route.aim / 4
+        request.fate.outcome = REFUSED_AT_ONCE if in_quarter else REFUSED_LATE
+        if not request.repeats:
+            return
+        request.repeats -= 1
+        eager = request.fate.customer in self.repeaters
+        back = now + (REPEAT_SECONDS if eager else verdict.retry_after)
+
+        def come_back(at):
+            request.asked_at = request.since = at
+            self._ask(request, at)
+
+        if eager or verdict.retry_after:
+            self.at(back, come_back)
+
+    def _admit(self, request, now):
+        """Ask the book; whoever may, or has begun, asks for the next stage."""
+        kind = request.kind
+        loads = {s.pool: self.pools[s.pool].load(now) for s in kind.route.stages}
+        left = request.since + kind.route.aim - now - kind.engine_seconds
+        arrival = Arrival(
+            request.name,
+            kind.route,
+            request.counts,
+            1,
+            left - self._usual(request, 0),
+            request.fate.at + kind.deadline - now,
+            request.name,
+            customer=request.fate.customer,
+            made=frozenset(range(request.stage)),
+        )
+        verdict = self.book.admit(arrival, loads, now, self.shared)
+        if verdict.admitted or request.began:
+            request.began = True
+            self._jobs[request.name] = request
+            self._begin_stage(request, now)
+            return None
+        return verdict
+
+    def _usual(self, request, stage):
+        stages = request.kind.route.stages
+        return sum(
+            self.pools[s.pool].profile.seconds(self.pools[s.pool].profile.batch)
+            for s, count in list(zip(stages, request.counts, strict=True))[stage:]
+            if count
+        )
+
+    def _begin_stage(self, request, now):
+        while request.stage < len(request.counts) and not request.counts[request.stage]:
+            request.stage += 1
+        if request.stage == len(request.counts):
+            self.at(now + request.kind.engine_seconds, lambda at: self._end(request, at))
+            return
+        plan = request.kind.route.stages[request.stage]
+        self.book.asked(request.name, request.stage)
+        left = request.since + request.kind.route.aim - now - request.kind.engine_seconds
+        due = now + left - self._usual(request, request.stage)
+        request.left = request.counts[request.stage]
+        pool = self.pools[plan.pool]
+        pool.waiting += [
+            PieceJob(
+                call_id=f"{request.name} {request.stage}",
+                request_id=request.name,
+                stage=request.stage,
+                piece=piece,
+                key="",
+                inputs=("x",) if plan.after else (),
+                priority=1,
+                due=due,
+                deadline=request.fate.at + request.kind.deadline,
+                result_bytes=plan.result_bytes,
+            )
+            for piece in range(request.left)
+        ]
+        self.at(request.fate.at + request.kind.deadline, lambda at: self._too_late(request))
+        self._pump(pool, now)
+
+    def _too_late(self, request):
+        if not request.over:
+            self._lose(request)
+
+    def _lose(self, request):
+        request.over, request.fate.outcome = True, LOST
+        self.book.ended(request.name)
+        self._free(request.held)
+        self._free(request.made)
+        for pool in self.pools.values():
+            pool.waiting = [job for job in pool.waiting if job.request_id != request.name]
+
+    def _end(self, request, now):
+        if request.over:
+            return
+        request.over = True
+        self._free(request.held)
+        fate = request.fate
+        fate.stages_seconds = now - request.since - request.kind.engine_seconds
+        fate.outcome = IN_TIME if now - request.since <= request.kind.route.aim else LATE
+
+    # ---- pools ----
+
+    def _pump(self, pool, now):
+        started = frozenset(f"{r.name} {r.stage}" for r in self._jobs.values() if r.left and r.made)
+        for worker in pool.workers:
+            if worker.free_at > now or not pool.waiting:
+                continue
+            if self._is_kept_back(pool, now):
+                break
+            room = pool.profile.room_bytes - worker.taken
+            target = FreeTarget(workers=len(pool.workers))
+            batch = take_batch(pool.waiting, pool.profile, room, now, target, started)
+            if not batch:
+                continue
+            taken = set(map(id, batch))
+            pool.waiting = [job for job in pool.waiting if id(job) not in taken]
+            pool.calls.append(len(batch))
+            pool.last_began = now
+            pool.call_seconds += 0.1 * (pool.profile.seconds(len(batch)) - pool.call_seconds)
+            worker.taken += sum(job.result_bytes for job in batch)
+            worker.free_at = now + pool.profile.seconds(len(batch)) * worker.ratio
+            life = worker.life
+            self.at(
+                worker.free_at,
+                lambda at, w=worker, b=batch, life=life: self._called(pool, w, b, life, at),
+            )
+
+    def _is_kept_back(self, pool, now):
+        """Return whether the next call waits for an even pace; look again when it may begin."""
+        if not self.shared.intersection({name for name, p in self.pools.items() if p is pool}):
+            return False
+        waiting, targets = len(pool.waiting), len(pool.workers)
+        begin = begins_at(pool.last_began, pool.call_seconds, targets, waiting, pool.profile.batch)
+        if begin <= now + 1e-6:
+            return False
+        if pool.timer <= now:
+            pool.timer = begin
+            self.at(begin, lambda at: self._pump(pool, at))
+        return True
+
+    def _called(self, pool, worker, batch, life, now):
+        for job in batch:
+            request = self._jobs[job.request_id]
+            if life != worker.life:
+                if not request.over:
+                    self._lose(request)
+                continue
+            if request.over or job.stage != request.stage or not request.left:
+                worker.taken -= job.result_bytes
+                continue
+            request.made.append((worker, worker.life, job.result_bytes))
+            request.left -= 1
+            if not request.left:
+                self._stage_done(request, now)
+        self._pump(pool, now)
+
+    def _stage_done(self, request, now):
+        self.book.made(request.name, request.stage, self._usual(request, 0), now)
+        self._free(request.held)
+        request.held, request.made = request.made, []
+        request.stage += 1
+        self.at(now + HAND_OVER_SECONDS, lambda at: self._begin_stage(request, at))
+
+    def _free(self, held):
+        for worker, life, size in held:
+            if worker.life == life:
+                worker.taken -= size
+        held.clear()
+
+
+def read_out(fates: list[Fate], by: str = "kind") -> dict[str, Counter[str]]:
+    """Return how the requests of each kind, or of each customer, ended."""
+    found: dict[str, Counter[str]] = {}
+    for fate in fates:
+        found.setdefault(getattr(fate, by), Counter())[fate.outcome] += 1
+    return found
+
+
+def served_part(counts: Counter[str]) -> float:
+    """Return the part that was answered in time."""
+    return counts[IN_TIME] / max(1, counts.total())
+
+
+def chain(name: str, aim: float, *stages: tuple[str, int]) -> Route:
+    """Return a route whose stages, as (pool, bytes of a result), read one another in order."""
+    plans = tuple(
+        StagePlan(pool, (i - 1,) if i else (), size) for i, (pool, size) in enumerate(stages)
+    )
+    return Route(name, "h", "/", (Split("engine"),), aim=aim, stages=plans)
+
+
+def patient_and_impatient() -> tuple[dict[str, CrowdPool], list[CrowdKind]]:
+    """Return three pools that a patient kind fills, and an impatient one with the same chain."""
+    pools = {
+        "portal": CrowdPool(9, BatchProfile(1, 2, 20, 0.2, 0.0086, 48e6, 4.0)),
+        "meter": CrowdPool(8, BatchProfile(1, 2, 47, 0.2, 0.0036, 6.298e6, 4.0)),
+        "billing": CrowdPool(9, BatchProfile(1, 2, 70, 0.2, 0.0031, 0.93e6, 4.0)),
+    }
+    light = (("portal", 8_000), ("meter", 60_000), ("billing", 6_000))
+    kinds = [
+        CrowdKind(chain("dossier", 0.835, ("portal", 1_500_000)), 71.4, ((2.5, 0.7),), 0.15),
+        CrowdKind(chain("brief", 3.0, *light), 87.0, ((1, 1), (6, 1), (10, 1)), 0.08),
+        CrowdKind(chain("chat", 1.5, *light), 15.5, ((1, 1), (6, 1), (10, 1)), 0.06),
+    ]
+    return pools, kinds
+
+
+def alike_in_patience() -> tuple[dict[str, CrowdPool], list[CrowdKind]]:
+    """Return three pools and two kinds with one chain whose aims are nearly the same."""
+    pools = {
+        "registry": CrowdPool(10, BatchProfile(1, 2, 17, 0.2, 0.01, 37.8e6, 4.0)),
+        "notices": CrowdPool(8, BatchProfile(1, 2, 60, 0.2, 0.0029, 7.78e6, 4.0)),
+        "stock": CrowdPool(8, BatchProfile(1, 2, 83, 0.2, 0.003, 1.13e6, 4.0)),
+    }
+    light = (("registry", 8_000), ("notices", 60_000), ("stock", 6_000))
+    kinds = [
+        CrowdKind(chain("review", 0.91, ("registry", 1_500_000)), 76.0, ((2.5, 0.7),), 0.15),
+        CrowdKind(chain("explain", 1.8, *light), 87.7, ((1, 1), (6, 1), (10, 1)), 0.1),
+        CrowdKind(chain("reminder", 1.7, *light), 22.1, ((1, 1), (6, 1), (10, 1)), 0.08),
+    ]
+    return pools, kinds
--- a/tests/support/stage_burst.py
+++ b/tests/support/stage_burst.py
@@ -35,7 +35,7 @@
         """Return what admission is told of this pool."""
         full = self.profile.seconds(self.profile.batch)
 
-        def waiting(priority):
+        def waiting(priority, due):
             return sum(1 for other, _, _ in self.waiting if other <= priority)
 
         return PoolLoad(waiting, self.targets * self.profile.batch / full, full)
--- a/traystall/core/metrics.py
+++ b/traystall/core/metrics.py
@@ -56,6 +56,18 @@
     "traystall_sent_beyond_limit_total",
     "Requests and calls sent to limited targets without a permit; it should stay 0.",
 )
+shared_part = Gauge(
+    "traystall_shared_part",
+    "Part of a route's requests that begins, where this gateway batches for pools shared by parts.",
+)
+shared_pool_wait = Gauge(
+    "traystall_shared_pool_wait_seconds",
+    "How long the queue of a pool shared by parts takes, where this gateway batches.",
+)
+not_admitted_total = Counter(
+    "traystall_not_admitted_total",
+    "Requests refused before their first stage, by route and the pool that binds it, if any.",
+)
 consensus_term = Gauge("traystall_consensus_term", "Current term of this replica.")
 consensus_commit = Gauge("traystall_consensus_commit_index", "Committed log index.")
 rpc_bytes_total = Counter(
--- a/traystall/passthrough/admission/book.py
+++ b/traystall/passthrough/admission/book.py
@@ -8,14 +8,20 @@
 longer so: it is served when the rush is over, rather than sent away for good.
 """
 
+import math
+
 import msgspec
 
+from traystall.admission.demand import Demand
+from traystall.passthrough.admission.calibration import ForecastError
+from traystall.passthrough.admission.crowding import Crowding
 from traystall.passthrough.admission.forecast import (
     PoolForecast,
     PoolLoad,
     chain_wait,
     stage_times,
 )
+from traystall.passthrough.admission.handover import Handover
 from traystall.passthrough.admission.timeline import Expected
 from traystall.routes.models import Route
 
@@ -41,8 +47,13 @@
 _HALF_SECONDS = 3.0
 # Waits below this, in seconds, say nothing of the forecast.
 _SHORT_WAIT = 0.1
+# Where pools are shared by parts every request may wait so long, in seconds: what waits less than
+# half a call finds a pool that is nearly free, and long prompts would else never be let in.
+_LEAST_WAIT = 0.1
 # Chains whose end was never told are forgotten after this long.
 _LOST_SECONDS = 8.0
+# Who is to be forgotten is looked for so often, in seconds, not at each question.
+_FORGET_SECONDS = 0.2
 
 
 class Arrival(msgspec.Struct, frozen=True):
@@ -59,6 +70,14 @@
     slack: float
     seconds_left: float
     mark: str = ""
+    customer: str = ""
+    # Its first stages that were made already; it began elsewhere where there are any.
+    made: frozenset[int] = frozenset()
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether stages of it were made already."""
+        return bool(self.made)
 
     def demand(self, done: frozenset[int] = frozenset()) -> dict[str, int]:
         """Return how many pieces of each pool are still to be asked for."""
@@ -77,6 +96,13 @@
     wait: float
     retry_after: float = 0.0
     came_back: bool = False
+    # Which part of its customer's requests begins now, and the pool that binds it, if any does.
+    part: float = 1.0
+    binding: str = ""
+    # How long it would have to wait until it might be let in, and whether its pools are shared by
+    # parts: only there it is known.
+    seconds_to_turn: float = 0.0
+    shared: bool = False
 
 
 class _Chain(msgspec.Struct):
@@ -98,24 +124,73 @@
         # How long requests have waited beside what was forecast for them.
         self.scale = _USUAL_SCALE
         self._scaled_at = 0.0
-
-    def admit(self, arrival: Arrival, loads: dict[str, PoolLoad], now: float) -> Verdict:
-        """Decide on a request by the `loads` of its pools; one that has begun is let through."""
+        self._forgot_at = float("-inf")
+        # By kind, what its requests take beyond their forecasts.
+        self._errors: dict[str, ForecastError] = {}
+        self.demand = Demand()
+        self._crowding = Crowding(self.demand, self._forecast)
+        self._handover = Handover()
+
+    def admit(
+        self,
+        arrival: Arrival,
+        loads: dict[str, PoolLoad],
+        now: float,
+        shared_pools: frozenset[str] = frozenset(),
+    ) -> Verdict:
+        """Decide on a request by the `loads` of its pools; one that has begun is let through.
+
+        At `shared_pools` what should begin sooner goes first, each kind and customer gets its
+        part, and forecasts are corrected by how requests of a kind have fared.
+        """
         if arrival.request_id in self._chains:
             return Verdict(True, 0.0)
         self._forget(now)
         self._fade(now)
+        shared = bool(shared_pools.intersection(loads))
+        if shared and arrival.has_begun:
+            # It began where another gateway batched: what it holds would be lost.
+            self._begin(arrival, 0.0, loads, now)
+            return Verdict(True, 0.0)
+        loads = self._handover.add_to(loads, now)
+        if shared:
+            self._crowding.look(arrival, loads, shared_pools, now)
         route = arrival.route
+        slack = arrival.slack if shared else math.inf
         raw_wait = chain_wait(
-            route.stages, arrival.counts, arrival.priority, loads, self._forecast, now
+            route.stages, arrival.counts, arrival.priority, loads, self._forecast, now, slack
         )
-        wait = raw_wait * self.scale
         came_back = arrival.mark in self._refused
-        limit = _limit(arrival) * (_RETURN_PART if came_back else 1.0)
-        if wait > limit:
-            return Verdict(False, wait, _retry_after(arrival, wait), came_back)
+        if shared:
+            wait = raw_wait + self._error(route.name).for_slack(arrival.slack, now)
+            limit = max(arrival.slack, _LEAST_WAIT)
+        else:
+            wait = raw_wait * self.scale
+            limit = _limit(arrival) * (_RETURN_PART if came_back else 1.0)
+        kind, customer = route.name, arrival.customer
+        part = self.demand.part_of(kind, customer) if shared else 1.0
+        binding = self.demand.part(kind).pool if shared else ""
+        if wait > limit or (shared and not self.demand.may_begin(kind, customer)):
+            retry_after = _retry_after(arrival, wait)
+            seconds_to_turn = 0.0
+            if shared:
+                # A turn comes only to who asks anew.
+                seconds_to_turn = (wait - limit) * _RETRY_FACTOR if wait > limit else math.inf
+            return Verdict(
+                False, wait, retry_after, came_back, part, binding, seconds_to_turn, shared
+            )
+        if shared:
+            self.demand.begins(kind, customer)
         self._begin(arrival, raw_wait, loads, now)
-        return Verdict(True, wait)
+        return Verdict(True, wait, part=part, binding=binding, shared=shared)
+
+    def take_over(self, waits: dict[str, float], age: float, now: float) -> None:
+        """Take in what somebody was told `age` seconds ago by the gateway that batched before."""
+        self._handover.told(waits, age, now)
+
+    def waits(self, now: float) -> dict[str, float]:
+        """Return how long the queues of shared pools are, in seconds by pool."""
+        return self._crowding.waits(now)
 
     def refuse(self, mark: str, now: float) -> None:
         """Note that a request was refused for good; it is known when it comes back."""
@@ -140,6 +215,7 @@
             return
         self.ended(request_id)
         waited = now - chain.since - usual_seconds
+        self._error(chain.arrival.route.name).learn(waited - chain.wait, now)
         if chain.wait > _SHORT_WAIT:
             found = max(0.0, waited) / chain.wait
             self.scale += _LEARNING * (found - self.scale)
@@ -159,6 +235,7 @@
     def _begin(self, arrival, wait, loads, now):
         """Count what a request will ask of each pool, and when."""
         chain = self._chains[arrival.request_id] = _Chain(arrival, now, wait)
+        chain.done.update(arrival.made)
         stages = arrival.route.stages
         times = stage_times(
             stages,
@@ -168,11 +245,13 @@
             now,
         )
         for index, count in enumerate(arrival.counts):
-            if count:
+            if count and index not in arrival.made:
                 forecast = self._forecast(stages[index].pool)
-                expected = forecast.timeline.expect(arrival.priority, times[index][0], count)
+                expected = forecast.timeline.expect(
+                    arrival.priority, times[index][0], count, arrival.slack
+                )
                 chain.expected[index] = expected
-        for pool, count in arrival.demand().items():
+        for pool, count in arrival.demand(arrival.made).items():
             self._forecast(pool).arrivals.note(arrival.priority, count, now)
 
     def _take_back(self, chain, stage):
@@ -182,6 +261,9 @@
             pool = chain.arrival.route.stages[stage].pool
             self._forecast(pool).timeline.take_back(expected)
 
+    def _error(self, kind) -> ForecastError:
+        return self._errors.setdefault(kind, ForecastError())
+
     def _fade(self, now):
         elapsed = max(0.0, now - self._scaled_at)
         self._scaled_at = now
@@ -195,6 +277,10 @@
         return found
 
     def _forget(self, now):
+        if now - self._forgot_at < _FORGET_SECONDS:
+            return
+        self._forgot_at = now
+        self._crowding.forget(now)
         for request_id, chain in list(self._chains.items()):
             if now - chain.since > _LOST_SECONDS:
                 self.ended(request_id)
--- a/traystall/passthrough/admission/forecast.py
+++ b/traystall/passthrough/admission/forecast.py
@@ -5,6 +5,7 @@
 pools that are three quarters empty.
 """
 
+import math
 from collections.abc import Callable, Mapping
 
 import msgspec
@@ -20,12 +21,12 @@
 class PoolLoad(msgspec.Struct, frozen=True):
     """Describe a pool as it is now.
 
-    `waiting(priority)` returns the pieces in its queue that go before work of a
-    priority, `rate` how many pieces a second it makes with full calls, `call_seconds`
-    how long its calls take lately.
+    `waiting(priority, due)` returns the pieces in its queue that go before work of a
+    priority that should begin at `due`, `rate` how many pieces a second it makes with
+    full calls, `call_seconds` how long its calls take lately.
     """
 
-    waiting: Callable[[int], int]
+    waiting: Callable[[int, float], int]
     rate: float
     call_seconds: float
 
@@ -37,12 +38,18 @@
         self.arrivals = WaitForecast()
         self.timeline = DemandTimeline()
 
-    def wait(self, priority: int, load: PoolLoad, now: float, at: float) -> float:
-        """Return how long a piece waits that is asked for at `at`, in seconds."""
+    def wait(
+        self, priority: int, load: PoolLoad, now: float, at: float, due: float = math.inf
+    ) -> float:
+        """Return how long a piece waits that is asked for at `at`, in seconds.
+
+        Where it says when it should begin, what is as urgent and may wait longer goes after it.
+        """
         left = self.arrivals.left_rate(priority, load.rate, now)
         if left <= 0 or at > now + _FAR_SECONDS:
             return float("inf")
-        return self.timeline.backlog(priority, load.waiting(priority), left, now, at) / left
+        waiting = load.waiting(priority, due)
+        return self.timeline.backlog(priority, waiting, left, now, at, due) / left
 
 
 def stage_times(
@@ -73,18 +80,27 @@
     loads: Mapping[str, PoolLoad],
     forecasts: Callable[[str], PoolForecast],
     now: float,
+    slack: float = math.inf,
 ) -> float:
-    """Return how much longer the stages of a request take than without any waiting."""
+    """Return how much longer the stages of a request take than without any waiting.
+
+    With `slack`, the seconds that it may wait and still be in time, only what should begin before
+    its own pieces goes before them.
+    """
 
     def seconds(pool):
         return loads[pool].call_seconds
 
-    def wait(pool, at):
-        return forecasts(pool).wait(priority, loads[pool], now, at)
-
     def no_wait(pool, at):
         return 0.0
 
+    unhindered = stage_times(stages, counts, seconds, no_wait, now)
+    begins = zip(unhindered, counts, strict=True)
+    dues = iter([asked + slack for (asked, _), count in begins if count])
+
+    def wait(pool, at):
+        return forecasts(pool).wait(priority, loads[pool], now, at, next(dues))
+
     ends = max((end for _, end in stage_times(stages, counts, seconds, wait, now)), default=now)
-    usual = max((end for _, end in stage_times(stages, counts, seconds, no_wait, now)), default=now)
+    usual = max((end for _, end in unhindered), default=now)
     return ends - usual if ends < float("inf") else ends
--- a/traystall/passthrough/context.py
+++ b/traystall/passthrough/context.py
@@ -4,6 +4,7 @@
 import random as random_module
 from collections import Counter
 
+from traystall.admission.patience import shared_pools
 from traystall.core import clock
 from traystall.evacuations.models import EvacuatedPlaces
 from traystall.gateway.configuration import ConfigurationFollower
@@ -78,6 +79,9 @@
         # The cells, and of which targets and routes they were worked out.
         self._cells = Cells()
         self._cells_of = (-1, -1)
+        # The pools that kinds share by parts, and of which configuration they were worked out.
+        self._shared: frozenset[str] = frozenset()
+        self._shared_of = -1
 
     @property
     def index(self) -> RouteIndex:
@@ -193,6 +197,16 @@
             self._cells = batching_cells(self.board.data_centres(name) for name in pools)
         return self._cells
 
+    def shared_pools(self) -> frozenset[str]:
+        """Return the pools that kinds and customers share by parts; the configuration says which.
+
+        They are worked out anew where another configuration is in force.
+        """
+        if self._shared_of != self.index.number:
+            self._shared_of = self.index.number
+            self._shared = shared_pools(self.index.table.routes, self.index.pools)
+        return self._shared
+
     def learn_stage(self, pool: str, seconds: float) -> None:
         """Learn from a stage that was made how long one takes, its waiting included."""
         known = self.stage_seconds(pool)
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -216,6 +216,7 @@
             uptime=clock.monotonic() - self._started_at,
             evacuation_version=self.gateway_context.follower.evacuations.version,
             lends=True,
+            size=self.settings.size,
         )
 
     async def _answer_peer(self, request):
--- a/traystall/passthrough/entry/front.py
+++ b/traystall/passthrough/entry/front.py
@@ -173,6 +173,7 @@
             attempts=passed.attempts,
             seconds=round(clock.monotonic() - passed.started, 4),
             stages_seconds=passed.stages_seconds and round(passed.stages_seconds, 4),
+            stages=[made.to_log() for made in passed.made_stages],
             first_event=passed.first_event and round(passed.first_event, 4),
             events=passed.events,
             pause=round(passed.longest_pause, 4),
--- a/traystall/passthrough/entry/request.py
+++ b/traystall/passthrough/entry/request.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+
 from traystall.core import clock
 from traystall.passthrough.dialect import HeaderNames
 from traystall.passthrough.entry.messages import CallerRequest, RequestWriter
@@ -21,6 +23,22 @@
 _HEAVY_BYTES = 1_000_000
 
 
+class MadeStage(msgspec.Struct, frozen=True):
+    """Tell how long a stage took, how long it waited for its call and how long that took, seconds.
+
+    What is left of it went to and fro between gateways.
+    """
+
+    stage: int
+    seconds: float
+    waited: float
+    called: float
+
+    def to_log(self) -> list[float]:
+        """Return its figures, in milliseconds, after its number."""
+        return [self.stage, *(round(s * 1000) for s in (self.seconds, self.waited, self.called))]
+
+
 class PassRequest:
     """Hold one request; times are monotonic seconds."""
 
@@ -76,6 +94,7 @@
         self.outcome = "broken"
         self.target = ""
         self.stages_seconds: float | None = None
+        self.made_stages: list[MadeStage] = []
         self.first_event: float | None = None
         self.last_event_at: float | None = None
         self.longest_pause = 0.0
--- a/traystall/passthrough/ownership/owners.py
+++ b/traystall/passthrough/ownership/owners.py
@@ -19,6 +19,9 @@
 _LEAVING_SECONDS = 30.0
 # A gateway owns nothing before it has run this long, unless none has.
 _SETTLED_SECONDS = 8.0
+# A gateway counts as large that can do so much of what the largest near it can: gateways that
+# differ by less are alike, and what they own moves only as they come and go.
+_LARGE_PART = 0.6
 # A gateway that the directory no longer lists still counts this long.
 _REMEMBERED_SECONDS = 4.0
 
@@ -36,11 +39,15 @@
 def rank(rows: list[GatewayRow], key: str, now: float, near: tuple[str, ...] = ()) -> list[str]:
     """Return the identities of gateways in the order in which they own `key`.
 
-    Where data centres are named as `near`, gateways inside them go first.
+    Where data centres are named as `near`, gateways inside them go first. Of these the large ones
+    do: what one does for all takes a whole small one in a rush, and then nobody is answered.
     """
     settled = [row for row in rows if now - row.started_at >= _SETTLED_SECONDS] or rows
-    inside = [row for row in settled if row.data_centre in near]
-    return rendezvous_order(key, [row.identity for row in inside or settled])
+    near_ones = [row for row in settled if row.data_centre in near] or settled
+    least = max((row.size for row in near_ones), default=0.0) * _LARGE_PART
+    large = [row.identity for row in near_ones if row.size >= least]
+    small = [row.identity for row in near_ones if row.size < least]
+    return rendezvous_order(key, large) + rendezvous_order(key, small)
 
 
 class Owners:
--- a/traystall/passthrough/settings.py
+++ b/traystall/passthrough/settings.py
@@ -19,6 +19,13 @@
         "cold_excess", float, "Requests a cold target may get, as a part of what it bears.", "1.0"
     ),
     Setting("cold_slack", float, "Requests a second a cold target may get besides.", "0"),
+    Setting(
+        "size",
+        float,
+        "How much this gateway can do beside others, in any unit that all use: the largest batch "
+        "and place for all. 0: not said; it counts as the smallest.",
+        "0",
+    ),
     Setting("drain_notice", float, "Seconds to go on accepting after a stop is asked for.", "3"),
     Setting("drain_limit", float, "Seconds for what is in flight to finish.", "30"),
     Setting("log_level", str, "Lowest level that is logged.", "info"),
@@ -36,6 +43,14 @@
         problems.append(
             Problem("settings.E030", "control is empty.", "Name at least one control daemon.")
         )
+    if not 0 <= settings.size < float("inf"):
+        problems.append(
+            Problem(
+                "settings.E032",
+                f"size must be a number of 0 or more, not {settings.size}.",
+                "Leave it out, or give what this gateway can do beside others.",
+            )
+        )
     for name in ("repeat_window", "drain_limit", "cold_excess"):
         problems += check_positive(name, getattr(settings, name))
     return problems
--- a/traystall/passthrough/stages/batcher.py
+++ b/traystall/passthrough/stages/batcher.py
@@ -11,7 +11,7 @@
 from collections import Counter
 from itertools import islice
 
-from traystall.core import clock
+from traystall.core import clock, metrics
 from traystall.core.exceptions import RpcError
 from traystall.core.logs import decision
 from traystall.passthrough.admission.book import AdmissionBook, Arrival, Verdict
@@ -58,6 +58,8 @@
         # By cell and pool, and by cell.
         self._queues: dict[tuple[str, str], PieceQueue] = {}
         self._books: dict[str, AdmissionBook] = {}
+        # By cell, how long the queues of its shared pools were, and when that was told.
+        self._waits: dict[str, tuple[dict[str, float], float]] = {}
         # Calls whose requests came back and wait to be let in.
         self._wait_for_room: set[str] = set()
         self._releases = Releases(context, links, self.freed_here)
@@ -70,14 +72,28 @@
             if owner is None:
                 break
             try:
+                self._pass_on(request)
                 reply = await self._run_at(owner, request)
             except RpcError as error:
                 self._leave(owner, request, error)
                 continue
             self._releases.note_batched(reply.handles, owner.rpc_address)
+            if reply.waits:
+                self._waits[self._cell(request)] = (reply.waits, clock.monotonic())
             return reply
+        self._pass_on(request)
         return await self.run_here(request)
 
+    def waits_told(self) -> dict[str, dict[str, float]]:
+        """Return how long the queues of shared pools were, by cell, as this gateway was told."""
+        return {cell: waits for cell, (waits, _) in self._waits.items()}
+
+    def _pass_on(self, request):
+        """Tell whoever batches what was told last of the queues of its cell."""
+        waits, at = self._waits.get(self._cell(request), (None, 0.0))
+        if waits:
+            request.waits, request.waits_age = waits, clock.monotonic() - at
+
     def _leave(self, owner, request, error):
         """Note that a batcher does not serve; the next one in order is asked then."""
         self._context.owners.on_error(owner.identity, error)
@@ -92,19 +108,26 @@
     async def run_here(self, request: StageRequest) -> StageReply:
         """Batch the pieces of one stage at this gateway, or refuse a request that begins."""
         cell = self._cell(request)
+        if request.waits:
+            age = request.waits_age or 0.0
+            self._book(cell).take_over(request.waits, age, clock.monotonic())
         verdict = await self._let_in(request, cell)
         if not verdict.admitted:
             rest = self._rest(request)
             after_rest = self._context.after_rest(rest) if rest else 0.0
             retry_after = max(verdict.retry_after, after_rest)
             return StageReply(
-                handles=[], reasons=[BUSY] * len(request.pieces), retry_after=retry_after
+                handles=[],
+                reasons=[BUSY] * len(request.pieces),
+                retry_after=retry_after,
+                waits=self._book(cell).waits(clock.monotonic()) or None,
             )
         book = self._book(cell)
         book.asked(request.request_id, request.stage)
         reply = await self._queue(cell, request.pool).run(request, self._home(request))
+        now = clock.monotonic()
+        reply.waits = book.waits(now) or None
         if all(reply.handles):
-            now = clock.monotonic()
             book.made(request.request_id, request.stage, self._usual_seconds(request), now)
         return reply
 
@@ -249,9 +272,9 @@
         if verdict.admitted or request.refuse_at_once:
             return verdict
         began = clock.monotonic()
-        patience = self._patience(request, verdict.came_back)
+        patience = self._patience(request, verdict)
         waited = 0.0
-        if self._rest(request) > patience:
+        if self._rest(request) > patience or verdict.seconds_to_turn > patience:
             # Nothing that could happen meanwhile would let it in.
             self._refuse(request, cell, verdict, waited)
             return verdict
@@ -270,18 +293,20 @@
         request.seconds_to_start -= waited
         return verdict
 
-    def _patience(self, request, came_back) -> float:
+    def _patience(self, request, verdict) -> float:
         """Return how long a request may wait to be let in, in seconds.
 
-        A refusal within a quarter of the aim is worth most to its caller.
+        A refusal within a quarter of the aim is worth most to its caller. Where pools are shared by
+        parts, who came back waits no longer than others: its turn comes like theirs.
         """
-        if came_back:
+        if verdict.came_back and not verdict.shared:
             return (request.seconds_left or 0.0) * _WAIT_PART
         route = self._context.index.named(request.route)
         return route.aim * _ADMISSION_PART if route is not None else 0.0
 
     def _refuse(self, request, cell, verdict, waited):
         self._book(cell).refuse(request.mark or "", clock.monotonic())
+        metrics.not_admitted_total.inc({"route": request.route or "", "pool": verdict.binding})
         decision(
             "not-admitted",
             request=request.request_id,
@@ -290,6 +315,8 @@
             slack=round((request.seconds_to_start or 0.0) - waited, 3),
             waited=round(waited, 3),
             came_back=verdict.came_back,
+            part=round(verdict.part, 3),
+            binding=verdict.binding,
             rates={
                 name: round(queue.rate(clock.monotonic()), 1)
                 for (place, name), queue in self._queues.items()
@@ -311,10 +338,18 @@
             slack=(request.seconds_to_start or 0.0) - waited,
             seconds_left=(request.seconds_left or 0.0) - waited,
             mark=request.mark or "",
+            customer=request.customer or "",
+            made=frozenset(range(request.stage)) if request.inputs else frozenset(),
         )
         pools = {stage.pool for stage in route.stages}
         loads = {pool: self._queue(cell, pool).load(now) for pool in pools}
-        return self._book(cell).admit(arrival, loads, now)
+        book = self._book(cell)
+        verdict = book.admit(arrival, loads, now, self._context.shared_pools())
+        if verdict.shared:
+            metrics.shared_part.set({"route": route.name}, verdict.part)
+            for pool, wait in book.waits(now).items():
+                metrics.shared_pool_wait.set({"pool": pool}, wait)
+        return verdict
 
     def _book(self, cell) -> AdmissionBook:
         return self._books.setdefault(cell, AdmissionBook())
--- a/traystall/passthrough/stages/chain.py
+++ b/traystall/passthrough/stages/chain.py
@@ -5,6 +5,7 @@
 from traystall.core import clock
 from traystall.core.exceptions import GatewayError
 from traystall.core.ids import new_id
+from traystall.passthrough.entry.request import MadeStage
 from traystall.quarantine.ends import REFUSED
 from traystall.rpc.gen.wire.ttypes import StageRequest
 
@@ -105,12 +106,16 @@
             refuse_at_once=passed.refuse_at_once,
             away_bytes=away_bytes(passed.route.stages, passed.piece_counts, index),
             alone=self._context.guard.suspect(passed.guarded) is not None,
+            customer=passed.customer.name if passed.customer is not None else "",
         )
         began = clock.monotonic()
         reply = await self._context.batcher.run(request)
         for life in reply.ended or ():
             self._context.guard.ended(passed.guarded, plan.pool, life, REFUSED)
         if all(reply.handles):
+            seconds = clock.monotonic() - began
+            made = MadeStage(index, seconds, reply.waited or 0.0, reply.called or 0.0)
+            passed.made_stages.append(made)
             self._context.learn_stage(plan.pool, clock.monotonic() - began)
         self._handles[index] = [handle for handle in reply.handles if handle]
         if len(self._handles[index]) < count:
--- a/traystall/passthrough/stages/piece_queue.py
+++ b/traystall/passthrough/stages/piece_queue.py
@@ -1,6 +1,7 @@
 """Pieces that wait for the targets of one pool, and who waits for them."""
 
 import asyncio
+import math
 
 import msgspec
 
@@ -12,6 +13,7 @@
 from traystall.passthrough.stages.batching import FreeTarget, PieceJob, set_apart, take_batch
 from traystall.passthrough.stages.cells import WHOLE
 from traystall.passthrough.stages.homes import StageHome
+from traystall.passthrough.stages.pace import begins_at
 from traystall.passthrough.stages.piece_calls import FULL, UNREACHABLE, call_worker
 from traystall.passthrough.stages.room_watch import RoomWatch
 from traystall.passthrough.stages.workers import SLOW_RATIO, Worker, overdue_after
@@ -47,6 +49,11 @@
     reasons: list[str]
     done: asyncio.Future
     started: bool = False
+    # When it was asked for, how long the last of its pieces waited, and how long that one's call
+    # took, in seconds.
+    asked_at: float = 0.0
+    waited: float = 0.0
+    called: float = 0.0
     # When to come back, in seconds, where it was given up since its targets rest.
     retry_after: float | None = None
     # Lives of targets that ended while they made pieces of it, and how many of them it may meet.
@@ -86,6 +93,7 @@
         self._rated_at = float("-inf")
         # How long calls take lately, 0 before the first one.
         self._call_seconds = 0.0
+        self._last_began = float("-inf")
 
     async def run(self, request: StageRequest, home: StageHome) -> StageReply:
         """Return once all pieces of a call are made, or it is clear that they won't be."""
@@ -93,6 +101,7 @@
         count = len(request.pieces)
         done = asyncio.get_running_loop().create_future()
         call = _Call([""] * count, [""] * count, done, most_ends=1 if request.alone else _MOST_ENDS)
+        call.asked_at = now
         self._calls[request.call_id] = call
         self._context.budget(self._pool).on_request(now)
         self._waiting += [_to_job(request, home, piece, now) for piece in request.pieces]
@@ -109,6 +118,8 @@
             reasons=call.reasons,
             ended=call.ended,
             retry_after=call.retry_after,
+            waited=call.waited,
+            called=call.called,
         )
 
     def cancel(self, call_id: str) -> None:
@@ -137,9 +148,16 @@
             self._rate = self.rate(now)
         return PoolLoad(self.waiting, self._rate, self._call_seconds or usual)
 
-    def waiting(self, priority: int) -> int:
-        """Return how many pieces wait that go before new work of a priority."""
-        return sum(1 for job in self._waiting if job.priority <= priority)
+    def waiting(self, priority: int, due: float = math.inf) -> int:
+        """Return how many pieces wait that go before new work of a priority.
+
+        Of what is as urgent only that counts which should begin until `due`.
+        """
+        return sum(
+            1
+            for job in self._waiting
+            if job.priority < priority or (job.priority == priority and job.due <= due)
+        )
 
     def rate(self, now: float) -> float:
         """Return how many pieces a second the pool makes with full calls; 0 without targets."""
@@ -172,6 +190,10 @@
         home_waits, home_rates = self._home_waits(profile, now), self._home_rates(profile, now)
         workers = len(self._usable())
         for view, worker in free:
+            wait = self._pace_wait(profile, workers, now)
+            if wait > 0.0:
+                self._pump_later(wait)
+                return
             room = profile.room_bytes * worker.book.share - worker.book.taken(now)
             place = view.report.data_centre
             target = FreeTarget(place, workers, home_waits, home_rates, self._lacks(place))
@@ -183,6 +205,14 @@
         if self._waiting:
             self._pump_later()
 
+    def _pace_wait(self, profile, workers, now) -> float:
+        """Return how long the next call is kept back for the sake of an even pace, in seconds."""
+        if self._pool not in self._context.shared_pools():
+            return 0.0
+        usual = self._call_seconds or profile.seconds(1)
+        waiting = len(self._waiting)
+        return begins_at(self._last_began, usual, workers, waiting, profile.batch) - now
+
     def _give_up_at_rest(self, now):
         """Answer at once who waits for pieces whose targets all rest until it is too late."""
         if not any(view.asked.rests(now) for view in self._context.board.pool(self._pool)):
@@ -270,6 +300,7 @@
             if job.call_id in self._calls:
                 self._calls[job.call_id].started = True
         size = sum(job.result_bytes for job in batch)
+        self._last_began = now
         # Counted here, not in the task: until that runs the target would look free.
         worker.began(now, size, profile.seconds(len(batch)))
         self._context.cold.note_sent(view)
@@ -318,7 +349,7 @@
             hedge.cancel()
             worker.ended(size)
             self._alone.discard(batch[0].request_id)
-        self._settle(view, worker, batch, results, profile)
+        self._settle(view, worker, batch, results, profile, began)
         decision(
             "pieces",
             pool=self._pool,
@@ -367,7 +398,7 @@
         call = self._calls.get(job.call_id)
         return call is not None and not call.handles[job.piece]
 
-    def _settle(self, view, worker, batch, results, profile):
+    def _settle(self, view, worker, batch, results, profile, began):
         now = clock.monotonic()
         unused = []
         for job, result in zip(batch, results, strict=True):
@@ -376,7 +407,9 @@
             if not self._is_open(job):
                 unused += [result.handle] if result.handle else []
             elif result.handle:
-                self._calls[job.call_id].close(job.piece, result.handle, "")
+                call = self._calls[job.call_id]
+                call.waited, call.called = began - call.asked_at, now - began
+                call.close(job.piece, result.handle, "")
             elif self._ends_too_many(job):
                 self._calls[job.call_id].close(job.piece, "", ENDED)
             elif not self._try_again(job, result.reason, now):
@@ -411,10 +444,13 @@
     def _may_repeat(self) -> bool:
         return self._context.may_repeat_batched(self._pool, self._cell)
 
-    def _pump_later(self):
-        if self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(_SOON_SECONDS, self._on_timer)
+    def _pump_later(self, seconds=_SOON_SECONDS):
+        loop = asyncio.get_running_loop()
+        if self._timer is not None:
+            if self._timer.when() <= loop.time() + seconds:
+                return
+            self._timer.cancel()
+        self._timer = loop.call_later(seconds, self._on_timer)
 
     def _on_timer(self):
         self._timer = None
--- a/traystall/rpc/gen/wire/ttypes.py
+++ b/traystall/rpc/gen/wire/ttypes.py
@@ -2618,6 +2618,7 @@
      - uptime
      - evacuation_version
      - lends
+     - size
 
     """
 
@@ -2634,10 +2635,11 @@
         'uptime',
         'evacuation_version',
         'lends',
+        'size',
     )
 
 
-    def __init__(self, identity=None, instance=None, data_centre=None, address=None, rpc_address=None, number=None, state=None, age=None, leaving=None, uptime=None, evacuation_version=None, lends=None,):
+    def __init__(self, identity=None, instance=None, data_centre=None, address=None, rpc_address=None, number=None, state=None, age=None, leaving=None, uptime=None, evacuation_version=None, lends=None, size=None,):
         self.identity = identity
         self.instance = instance
         self.data_centre = data_centre
@@ -2650,6 +2652,7 @@
         self.uptime = uptime
         self.evacuation_version = evacuation_version
         self.lends = lends
+        self.size = size
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2725,6 +2728,11 @@
                     self.lends = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.DOUBLE:
+                    self.size = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2786,6 +2794,10 @@
             oprot.writeFieldBegin('lends', TType.BOOL, 12)
             oprot.writeBool(self.lends)
             oprot.writeFieldEnd()
+        if self.size is not None:
+            oprot.writeFieldBegin('size', TType.DOUBLE, 13)
+            oprot.writeDouble(self.size)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -7205,6 +7217,9 @@
      - refuse_at_once
      - away_bytes
      - alone
+     - customer
+     - waits
+     - waits_age
 
     """
 
@@ -7228,10 +7243,13 @@
         'refuse_at_once',
         'away_bytes',
         'alone',
+        'customer',
+        'waits',
+        'waits_age',
     )
 
 
-    def __init__(self, pool=None, request_id=None, stage=None, pieces=None, key=None, inputs=None, seconds_left=None, priority=None, result_bytes=None, call_id=None, seconds_to_start=None, data_centre=None, route=None, counts=None, mark=None, places=None, refuse_at_once=None, away_bytes=None, alone=None,):
+    def __init__(self, pool=None, request_id=None, stage=None, pieces=None, key=None, inputs=None, seconds_left=None, priority=None, result_bytes=None, call_id=None, seconds_to_start=None, data_centre=None, route=None, counts=None, mark=None, places=None, refuse_at_once=None, away_bytes=None, alone=None, customer=None, waits=None, waits_age=None,):
         self.pool = pool
         self.request_id = request_id
         self.stage = stage
@@ -7251,6 +7269,9 @@
         self.refuse_at_once = refuse_at_once
         self.away_bytes = away_bytes
         self.alone = alone
+        self.customer = customer
+        self.waits = waits
+        self.waits_age = waits_age
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -7376,6 +7397,27 @@
                     self.alone = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRING:
+                    self.customer = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.MAP:
+                    self.waits = {}
+                    (_ktype243, _vtype244, _size242) = iprot.readMapBegin()
+                    for _i246 in range(_size242):
+                        _key247 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val248 = iprot.readDouble()
+                        self.waits[_key247] = _val248
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.DOUBLE:
+                    self.waits_age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -7401,8 +7443,8 @@
         if self.pieces is not None:
             oprot.writeFieldBegin('pieces', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.pieces))
-            for iter242 in self.pieces:
-                oprot.writeI32(iter242)
+            for iter249 in self.pieces:
+                oprot.writeI32(iter249)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.key is not None:
@@ -7412,8 +7454,8 @@
         if self.inputs is not None:
             oprot.writeFieldBegin('inputs', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.inputs))
-            for iter243 in self.inputs:
-                oprot.writeString(iter243.encode('utf-8') if sys.version_info[0] == 2 else iter243)
+            for iter250 in self.inputs:
+                oprot.writeString(iter250.encode('utf-8') if sys.version_info[0] == 2 else iter250)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.seconds_left is not None:
@@ -7447,8 +7489,8 @@
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.LIST, 14)
             oprot.writeListBegin(TType.I32, len(self.counts))
-            for iter244 in self.counts:
-                oprot.writeI32(iter244)
+            for iter251 in self.counts:
+                oprot.writeI32(iter251)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.mark is not None:
@@ -7458,8 +7500,8 @@
         if self.places is not None:
             oprot.writeFieldBegin('places', TType.LIST, 16)
             oprot.writeListBegin(TType.STRING, len(self.places))
-            for iter245 in self.places:
-                oprot.writeString(iter245.encode('utf-8') if sys.version_info[0] == 2 else iter245)
+            for iter252 in self.places:
+                oprot.writeString(iter252.encode('utf-8') if sys.version_info[0] == 2 else iter252)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refuse_at_once is not None:
@@ -7474,6 +7516,22 @@
             oprot.writeFieldBegin('alone', TType.BOOL, 19)
             oprot.writeBool(self.alone)
             oprot.writeFieldEnd()
+        if self.customer is not None:
+            oprot.writeFieldBegin('customer', TType.STRING, 20)
+            oprot.writeString(self.customer.encode('utf-8') if sys.version_info[0] == 2 else self.customer)
+            oprot.writeFieldEnd()
+        if self.waits is not None:
+            oprot.writeFieldBegin('waits', TType.MAP, 21)
+            oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.waits))
+            for kiter253, viter254 in self.waits.items():
+                oprot.writeString(kiter253.encode('utf-8') if sys.version_info[0] == 2 else kiter253)
+                oprot.writeDouble(viter254)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.waits_age is not None:
+            oprot.writeFieldBegin('waits_age', TType.DOUBLE, 22)
+            oprot.writeDouble(self.waits_age)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -7506,6 +7564,9 @@
      - reasons
      - retry_after
      - ended
+     - waits
+     - waited
+     - called
 
     """
 
@@ -7514,14 +7575,20 @@
         'reasons',
         'retry_after',
         'ended',
+        'waits',
+        'waited',
+        'called',
     )
 
 
-    def __init__(self, handles=None, reasons=None, retry_after=None, ended=None,):
+    def __init__(self, handles=None, reasons=None, retry_after=None, ended=None, waits=None, waited=None, called=None,):
         self.handles = handles
         self.reasons = reasons
         self.retry_after = retry_after
         self.ended = ended
+        self.waits = waits
+        self.waited = waited
+        self.called = called
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -7535,20 +7602,20 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.handles = []
-                    (_etype249, _size246) = iprot.readListBegin()
-                    for _i250 in range(_size246):
-                        _elem251 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.handles.append(_elem251)
+                    (_etype258, _size255) = iprot.readListBegin()
+                    for _i259 in range(_size255):
+                        _elem260 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.handles.append(_elem260)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.reasons = []
-                    (_etype255, _size252) = iprot.readListBegin()
-                    for _i256 in range(_size252):
-                        _elem257 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.reasons.append(_elem257)
+                    (_etype264, _size261) = iprot.readListBegin()
+                    for _i265 in range(_size261):
+                        _elem266 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.reasons.append(_elem266)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7560,13 +7627,34 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.ended = []
-                    (_etype261, _size258) = iprot.readListBegin()
-                    for _i262 in range(_size258):
-                        _elem263 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.ended.append(_elem263)
+                    (_etype270, _size267) = iprot.readListBegin()
+                    for _i271 in range(_size267):
+                        _elem272 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.ended.append(_elem272)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.MAP:
+                    self.waits = {}
+                    (_ktype274, _vtype275, _size273) = iprot.readMapBegin()
+                    for _i277 in range(_size273):
+                        _key278 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val279 = iprot.readDouble()
+                        self.waits[_key278] = _val279
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.waited = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.called = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -7580,15 +7668,15 @@
         if self.handles is not None:
             oprot.writeFieldBegin('handles', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.handles))
-            for iter264 in self.handles:
-                oprot.writeString(iter264.encode('utf-8') if sys.version_info[0] == 2 else iter264)
+            for iter280 in self.handles:
+                oprot.writeString(iter280.encode('utf-8') if sys.version_info[0] == 2 else iter280)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reasons is not None:
             oprot.writeFieldBegin('reasons', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.reasons))
-            for iter265 in self.reasons:
-                oprot.writeString(iter265.encode('utf-8') if sys.version_info[0] == 2 else iter265)
+            for iter281 in self.reasons:
+                oprot.writeString(iter281.encode('utf-8') if sys.version_info[0] == 2 else iter281)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.retry_after is not None:
@@ -7598,10 +7686,26 @@
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.ended))
-            for iter266 in self.ended:
-                oprot.writeString(iter266.encode('utf-8') if sys.version_info[0] == 2 else iter266)
+            for iter282 in self.ended:
+                oprot.writeString(iter282.encode('utf-8') if sys.version_info[0] == 2 else iter282)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.waits is not None:
+            oprot.writeFieldBegin('waits', TType.MAP, 5)
+            oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.waits))
+            for kiter283, viter284 in self.waits.items():
+                oprot.writeString(kiter283.encode('utf-8') if sys.version_info[0] == 2 else kiter283)
+                oprot.writeDouble(viter284)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.waited is not None:
+            oprot.writeFieldBegin('waited', TType.DOUBLE, 6)
+            oprot.writeDouble(self.waited)
+            oprot.writeFieldEnd()
+        if self.called is not None:
+            oprot.writeFieldBegin('called', TType.DOUBLE, 7)
+            oprot.writeDouble(self.called)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -7742,10 +7846,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.handles = []
-                    (_etype270, _size267) = iprot.readListBegin()
-                    for _i271 in range(_size267):
-                        _elem272 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.handles.append(_elem272)
+                    (_etype288, _size285) = iprot.readListBegin()
+                    for _i289 in range(_size285):
+                        _elem290 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.handles.append(_elem290)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7766,8 +7870,8 @@
         if self.handles is not None:
             oprot.writeFieldBegin('handles', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.handles))
-            for iter273 in self.handles:
-                oprot.writeString(iter273.encode('utf-8') if sys.version_info[0] == 2 else iter273)
+            for iter291 in self.handles:
+                oprot.writeString(iter291.encode('utf-8') if sys.version_info[0] == 2 else iter291)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7859,20 +7963,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype277, _size274) = iprot.readListBegin()
-                    for _i278 in range(_size274):
-                        _elem279 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.parts.append(_elem279)
+                    (_etype295, _size292) = iprot.readListBegin()
+                    for _i296 in range(_size292):
+                        _elem297 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.append(_elem297)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.sizes = []
-                    (_etype283, _size280) = iprot.readListBegin()
-                    for _i284 in range(_size280):
-                        _elem285 = iprot.readI64()
-                        self.sizes.append(_elem285)
+                    (_etype301, _size298) = iprot.readListBegin()
+                    for _i302 in range(_size298):
+                        _elem303 = iprot.readI64()
+                        self.sizes.append(_elem303)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7894,10 +7998,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype289, _size286) = iprot.readListBegin()
-                    for _i290 in range(_size286):
-                        _elem291 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem291)
+                    (_etype307, _size304) = iprot.readListBegin()
+                    for _i308 in range(_size304):
+                        _elem309 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem309)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7909,10 +8013,10 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.places = []
-                    (_etype295, _size292) = iprot.readListBegin()
-                    for _i296 in range(_size292):
-                        _elem297 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.places.append(_elem297)
+                    (_etype313, _size310) = iprot.readListBegin()
+                    for _i314 in range(_size310):
+                        _elem315 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.places.append(_elem315)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7937,15 +8041,15 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iter298 in self.parts:
-                oprot.writeString(iter298.encode('utf-8') if sys.version_info[0] == 2 else iter298)
+            for iter316 in self.parts:
+                oprot.writeString(iter316.encode('utf-8') if sys.version_info[0] == 2 else iter316)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sizes is not None:
             oprot.writeFieldBegin('sizes', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.sizes))
-            for iter299 in self.sizes:
-                oprot.writeI64(iter299)
+            for iter317 in self.sizes:
+                oprot.writeI64(iter317)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tokens is not None:
@@ -7963,8 +8067,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter300 in self.excluded:
-                oprot.writeString(iter300.encode('utf-8') if sys.version_info[0] == 2 else iter300)
+            for iter318 in self.excluded:
+                oprot.writeString(iter318.encode('utf-8') if sys.version_info[0] == 2 else iter318)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.book is not None:
@@ -7974,8 +8078,8 @@
         if self.places is not None:
             oprot.writeFieldBegin('places', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.places))
-            for iter301 in self.places:
-                oprot.writeString(iter301.encode('utf-8') if sys.version_info[0] == 2 else iter301)
+            for iter319 in self.places:
+                oprot.writeString(iter319.encode('utf-8') if sys.version_info[0] == 2 else iter319)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -8740,11 +8844,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype305, _size302) = iprot.readListBegin()
-                    for _i306 in range(_size302):
-                        _elem307 = TargetLimitRecord()
-                        _elem307.read(iprot)
-                        self.limits.append(_elem307)
+                    (_etype323, _size320) = iprot.readListBegin()
+                    for _i324 in range(_size320):
+                        _elem325 = TargetLimitRecord()
+                        _elem325.read(iprot)
+                        self.limits.append(_elem325)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -8765,8 +8869,8 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter308 in self.limits:
-                iter308.write(oprot)
+            for iter326 in self.limits:
+                iter326.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -8898,11 +9002,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype312, _size309) = iprot.readListBegin()
-                    for _i313 in range(_size309):
-                        _elem314 = Member()
-                        _elem314.read(iprot)
-                        self.members.append(_elem314)
+                    (_etype330, _size327) = iprot.readListBegin()
+                    for _i331 in range(_size327):
+                        _elem332 = Member()
+                        _elem332.read(iprot)
+                        self.members.append(_elem332)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -8923,8 +9027,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter315 in self.members:
-                iter315.write(oprot)
+            for iter333 in self.members:
+                iter333.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -9063,11 +9167,11 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.entities = {}
-                    (_ktype317, _vtype318, _size316) = iprot.readMapBegin()
-                    for _i320 in range(_size316):
-                        _key321 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val322 = iprot.readBinary()
-                        self.entities[_key321] = _val322
+                    (_ktype335, _vtype336, _size334) = iprot.readMapBegin()
+                    for _i338 in range(_size334):
+                        _key339 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val340 = iprot.readBinary()
+                        self.entities[_key339] = _val340
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -9092,9 +9196,9 @@
         if self.entities is not None:
             oprot.writeFieldBegin('entities', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.entities))
-            for kiter323, viter324 in self.entities.items():
-                oprot.writeString(kiter323.encode('utf-8') if sys.version_info[0] == 2 else kiter323)
-                oprot.writeBinary(viter324)
+            for kiter341, viter342 in self.entities.items():
+                oprot.writeString(kiter341.encode('utf-8') if sys.version_info[0] == 2 else kiter341)
+                oprot.writeBinary(viter342)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -9352,6 +9456,7 @@
     (10, TType.DOUBLE, 'uptime', None, None, ),  # 10
     (11, TType.I64, 'evacuation_version', None, None, ),  # 11
     (12, TType.BOOL, 'lends', None, None, ),  # 12
+    (13, TType.DOUBLE, 'size', None, None, ),  # 13
 )
 all_structs.append(SuspectRecord)
 SuspectRecord.thrift_spec = (
@@ -9718,6 +9823,9 @@
     (17, TType.BOOL, 'refuse_at_once', None, None, ),  # 17
     (18, TType.I64, 'away_bytes', None, None, ),  # 18
     (19, TType.BOOL, 'alone', None, None, ),  # 19
+    (20, TType.STRING, 'customer', 'UTF8', None, ),  # 20
+    (21, TType.MAP, 'waits', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 21
+    (22, TType.DOUBLE, 'waits_age', None, None, ),  # 22
 )
 all_structs.append(StageReply)
 StageReply.thrift_spec = (
@@ -9726,6 +9834,9 @@
     (2, TType.LIST, 'reasons', (TType.STRING, 'UTF8', False), None, ),  # 2
     (3, TType.DOUBLE, 'retry_after', None, None, ),  # 3
     (4, TType.LIST, 'ended', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (5, TType.MAP, 'waits', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 5
+    (6, TType.DOUBLE, 'waited', None, None, ),  # 6
+    (7, TType.DOUBLE, 'called', None, None, ),  # 7
 )
 all_structs.append(StageCancel)
 StageCancel.thrift_spec = (
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -129,6 +129,8 @@
   11: i64 evacuation_version
   // Whether it knows permits: one that doesn't would end the link on which it is asked.
   12: bool lends
+  // How much it can do beside others; 0 where it doesn't say.
+  13: double size
 }
 // A request under which targets have ended, by its digest: how many did, and how many seconds it stays
 // refused, if it is.
@@ -274,10 +276,19 @@
   18: i64 away_bytes
   // Whether its pieces are made in calls of their own, because targets have ended under its request.
   19: bool alone
+  // Who asks; empty where the sender doesn't say.
+  20: string customer
+  // How long the queues of the shared pools were where its sender asked last, in seconds by pool, and
+  // how many seconds ago that was told: a gateway that takes over doesn't begin blind.
+  21: map<string, double> waits, 22: double waits_age
 }
-// `ended` names the lives of targets that ended while they made pieces of this call.
+// `ended` names the lives of targets that ended while they made pieces of this call; `waits` tells
+// how long the queues of the shared pools are, in seconds by pool.
 struct StageReply {
   1: list<string> handles, 2: list<string> reasons, 3: double retry_after, 4: list<string> ended
+  5: map<string, double> waits
+  // How long the last of its pieces waited for a call, and how long that call took, in seconds.
+  6: double waited, 7: double called
 }
 struct StageCancel { 1: string call_id, 2: string request_id }
 // Results that were given up, told to the gateway that counts the room of their makers.
--- a/traystall/tables/gateways.py
+++ b/traystall/tables/gateways.py
@@ -31,6 +31,8 @@
     evacuation_version: int = 0
     # Whether it knows permits of limited targets.
     lends: bool = False
+    # How much it can do beside others, in whatever unit all use; 0 where it doesn't say.
+    size: float = 0.0
 
 
 class DirectoryDelta(msgspec.Struct, frozen=True):
@@ -122,4 +124,12 @@
 
 
 def _public(row):
-    return (row.data_centre, row.address, row.rpc_address, row.state, row.leaving, row.lends)
+    return (
+        row.data_centre,
+        row.address,
+        row.rpc_address,
+        row.state,
+        row.leaving,
+        row.lends,
+        row.size,
+    )
