--- a/tests/conf/test_settings.py
+++ b/tests/conf/test_settings.py
@@ -8,6 +8,8 @@
 from traystall.core.exceptions import SettingsError
 from traystall.gateway.settings import SETTINGS as GATEWAY
 from traystall.gateway.settings import check_gateway
+from traystall.passthrough.settings import SETTINGS as PASS
+from traystall.passthrough.settings import check_gateway as check_pass
 
 FLAGS = [
     "--cluster=c",
@@ -66,9 +68,6 @@
         ("--control=127.0.0.1", "settings.E010"),
         ("--max-body-bytes=0", "settings.E011"),
         ("--control=", "settings.E030"),
-        ("--size=-1", "settings.E032"),
-        ("--size=inf", "settings.E032"),
-        ("--size=nan", "settings.E032"),
         ("--index=-1", "settings.E031"),
     ],
 )
@@ -92,3 +91,24 @@
     with pytest.raises(SettingsError) as error:
         load("control", CONTROL, [check_control], [*CONTROL_FLAGS, flag], {})
     assert problem in ids(error)
+
+
+PASS_FLAGS = (
+    "--cluster=c",
+    "--instance=i",
+    "--data-centre=d",
+    "--listen=127.0.0.1:1",
+    "--rpc-listen=127.0.0.1:2",
+    "--control=127.0.0.1:3",
+)
+
+
+@pytest.mark.parametrize("size", ["-1", "inf", "nan"])
+def test_a_size_that_is_none_is_refused(size):
+    with pytest.raises(SettingsError) as error:
+        load("pass", PASS, [check_pass], [*PASS_FLAGS, f"--size={size}"], {})
+    assert ids(error) == ["settings.E032"]
+
+
+def test_a_gateway_that_names_no_size_says_none():
+    assert load("pass", PASS, [check_pass], [*PASS_FLAGS], {}).size == 0.0
