--- /dev/null
+++ b/benchmarks/shares.py
@@ -0,0 +1,68 @@
+"""Measure what parts of crowded pools cost: time of a question, memory of rows, bytes told.
+
+Run with: python -m benchmarks.shares
+A gateway that batches is asked once for each request that wants to begin; who asks has a row for
+each kind.
+"""
+
+import time
+import tracemalloc
+
+from traystall.admission.demand import Demand
+from traystall.rpc.gen.wire.ttypes import StageReply, StageRequest
+from traystall.rpc.messages import encode
+
+_PIECES = {"portal": 1, "meter": 6, "billing": 10}
+_RATES = {"meter": 500.0}
+_WAITS = {"portal": 0.12, "meter": 0.48, "billing": 0.21}
+_SECONDS = 10.0
+
+
+def ask_all(customers: int) -> Demand:
+    """Return the demand after each of so many customers has asked once in 10 s."""
+    demand = Demand()
+    for number in range(customers):
+        now = number * _SECONDS / customers
+        demand.asked("kind", f"customer-{number}", _PIECES, now)
+        demand.work_out(_RATES, now)
+        demand.may_begin("kind", f"customer-{number}")
+    return demand
+
+
+def microseconds(customers: int) -> float:
+    """Return the microseconds of a question."""
+    began = time.perf_counter()
+    ask_all(customers)
+    return (time.perf_counter() - began) / customers * 1e6
+
+
+def bytes_of_a_row(customers: int) -> float:
+    """Return the bytes that a row takes."""
+    tracemalloc.start()
+    held = ask_all(customers)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size / max(1, held.rows())
+
+
+def bytes_told() -> tuple[int, int]:
+    """Return the bytes that a request and a reply grow by for the queues of three pools."""
+    request = {"pool": "portal", "request_id": "r", "stage": 0, "pieces": [0]}
+    plain = len(encode(StageRequest(**request)))
+    told = len(encode(StageRequest(**request, customer="c" * 12, waits=_WAITS, waits_age=0.2)))
+    reply = len(encode(StageReply(handles=["h"], reasons=[""])))
+    tells = len(encode(StageReply(handles=["h"], reasons=[""], waits=_WAITS, waited=0.1)))
+    return told - plain, tells - reply
+
+
+def main() -> None:
+    """Print a row for each number of customers, then the bytes."""
+    for customers in (16, 1000, 16_000):
+        size, micros = bytes_of_a_row(customers), microseconds(customers)
+        print(f"{customers:6} customers: {size:6.0f} bytes a row, {micros:5.0f} us a question")
+    request, reply = bytes_told()
+    print(f"told with a request: {request} bytes, with a reply: {reply} bytes")
+
+
+if __name__ == "__main__":
+    main()
