--- a/traystall/passthrough/stages/chain.py
+++ b/traystall/passthrough/stages/chain.py
@@ -113,9 +113,7 @@
         for life in reply.ended or ():
             self._context.guard.ended(passed.guarded, plan.pool, life, REFUSED)
         if all(reply.handles):
-            seconds = clock.monotonic() - began
-            made = MadeStage(index, seconds, reply.waited or 0.0, reply.called or 0.0)
-            passed.made_stages.append(made)
+            self._note_made(index, clock.monotonic() - began, reply)
             self._context.learn_stage(plan.pool, clock.monotonic() - began)
         self._handles[index] = [handle for handle in reply.handles if handle]
         if len(self._handles[index]) < count:
@@ -126,6 +124,12 @@
             raise StageFailed(detail, reply.retry_after)
         self._free_read(index)
 
+    def _note_made(self, index, seconds, reply):
+        """Note how long a stage took, for the log; a request that was refused made none."""
+        if reply.handles:
+            made = MadeStage(index, seconds, reply.waited or 0.0, reply.called or 0.0)
+            self._passed.made_stages.append(made)
+
     def _delay(self, index) -> float:
         """Return how long a stage may wait so that its results are not ready before the others.
 
