--- a/tests/cli/test_reference.py
+++ b/tests/cli/test_reference.py
@@ -85,6 +85,7 @@
     "stages/homes",
     "stages/pace",
     "stages/room",
+    "stages/worker_rates",
     "stages/workers",
 ]
 IMPURE = ("asyncio", "socket", "httptools", "logging", "random", "time", "traystall.core")
--- a/tests/passthrough/test_cells.py
+++ b/tests/passthrough/test_cells.py
@@ -138,7 +138,7 @@
 
 
 def _refuse(admit):
-    def refused(arrival, loads, now):
+    def refused(arrival, loads, now, shared_pools):
         idle = {p: msgspec.structs.replace(load, rate=0.0) for p, load in loads.items()}
         return admit(arrival, idle, now)
 
--- a/traystall/passthrough/stages/piece_queue.py
+++ b/traystall/passthrough/stages/piece_queue.py
@@ -16,10 +16,11 @@
 from traystall.passthrough.stages.pace import begins_at
 from traystall.passthrough.stages.piece_calls import FULL, UNREACHABLE, call_worker
 from traystall.passthrough.stages.room_watch import RoomWatch
+from traystall.passthrough.stages.stage_call import MOST_ENDS, StageCall, to_job
+from traystall.passthrough.stages.worker_rates import rate_of_workers
 from traystall.passthrough.stages.workers import SLOW_RATIO, Worker, overdue_after
 from traystall.routes.models import BatchProfile
 from traystall.rpc.gen.wire.ttypes import StageReply, StageRequest
-from traystall.systems.permits import FIRST_PART
 
 # Reasons of a target for a piece that is worth asking for again.
 _BUSY_REASONS = ("room", FULL)
@@ -27,10 +28,8 @@
 _MAX_TRIES = 4
 _PAUSE_SECONDS = 0.05
 _SOON_SECONDS = 0.02
-# The reason of pieces under which targets ended, and how many ends one stage of a request may meet:
-# after the first it is made alone, so that the second one tells.
+# The reason of pieces under which targets ended.
 ENDED = "ended"
-_MOST_ENDS = 2
 # The reason of pieces whose targets have all asked for rest beyond their deadline.
 RESTING = "resting"
 # A queue this young, in seconds, does not know what its targets still do for another gateway.
@@ -42,32 +41,6 @@
 _CALL_LEARNING = 0.1
 
 
-class _Call(msgspec.Struct, eq=False):
-    """Hold what one gateway asked for: all pieces of one stage of one request."""
-
-    handles: list[str]
-    reasons: list[str]
-    done: asyncio.Future
-    started: bool = False
-    # When it was asked for, how long the last of its pieces waited, and how long that one's call
-    # took, in seconds.
-    asked_at: float = 0.0
-    waited: float = 0.0
-    called: float = 0.0
-    # When to come back, in seconds, where it was given up since its targets rest.
-    retry_after: float | None = None
-    # Lives of targets that ended while they made pieces of it, and how many of them it may meet.
-    ended: list[str] = []
-    most_ends: int = _MOST_ENDS
-
-    def close(self, piece: int, handle: str, reason: str) -> None:
-        """Take in what became of a piece; the first result of it counts."""
-        self.handles[piece] = handle
-        self.reasons[piece] = reason
-        if (reason or all(self.handles)) and not self.done.done():
-            self.done.set_result(None)
-
-
 class PieceQueue:
     """Hand the pieces of one pool to its targets, as many at a time as each takes.
 
@@ -79,7 +52,7 @@
         self._pool = pool
         self._cell = cell
         self._waiting: list[PieceJob] = []
-        self._calls: dict[str, _Call] = {}
+        self._calls: dict[str, StageCall] = {}
         self._workers: dict[str, Worker] = {}
         self._tasks: set[asyncio.Task] = set()
         self._timer: asyncio.TimerHandle | None = None
@@ -100,11 +73,13 @@
         now = clock.monotonic()
         count = len(request.pieces)
         done = asyncio.get_running_loop().create_future()
-        call = _Call([""] * count, [""] * count, done, most_ends=1 if request.alone else _MOST_ENDS)
+        call = StageCall(
+            [""] * count, [""] * count, done, most_ends=1 if request.alone else MOST_ENDS
+        )
         call.asked_at = now
         self._calls[request.call_id] = call
         self._context.budget(self._pool).on_request(now)
-        self._waiting += [_to_job(request, home, piece, now) for piece in request.pieces]
+        self._waiting += [to_job(request, home, piece, now) for piece in request.pieces]
         self.pump()
         try:
             async with asyncio.timeout(max(0.0, request.seconds_left)):
@@ -239,7 +214,9 @@
 
     def _rate_of(self, views, profile, now):
         """Return how many pieces a second targets make with the calls that they take."""
-        return _rate([(self._worker(view), view.limit.per_second) for view in views], profile, now)
+        return rate_of_workers(
+            [(self._worker(view), view.limit.per_second) for view in views], profile, now
+        )
 
     def _profile(self) -> BatchProfile | None:
         pool = self._context.index.pools.get(self._pool)
@@ -460,43 +437,3 @@
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _rate(workers, profile, now) -> float:
-    """Return how many pieces a second some targets make with full calls, as far as room lasts.
-
-    `workers` are pairs of a worker and the calls a second that it takes, None for any number.
-    """
-    seconds = max(0.001, profile.seconds(profile.batch))
-    called = sum(
-        profile.batch * _calls(worker, taken, profile, seconds) for worker, taken in workers
-    )
-    held = sum(worker.book.rate(profile.room_bytes, seconds, now) for worker, _ in workers)
-    return min(called, held)
-
-
-def _calls(worker, taken, profile, seconds) -> float:
-    """Return how many full calls a second a target answers, by its slots and its limit."""
-    calls = profile.slots / seconds / worker.ratio
-    return calls if taken is None else min(calls, taken * FIRST_PART)
-
-
-def _to_job(request, home, piece, now) -> PieceJob:
-    return PieceJob(
-        call_id=request.call_id,
-        request_id=request.request_id,
-        stage=request.stage,
-        piece=piece,
-        key=request.key or "",
-        inputs=tuple(request.inputs or ()),
-        priority=request.priority or 0,
-        due=now + (request.seconds_to_start or 0.0),
-        deadline=now + (request.seconds_left or 0.0),
-        result_bytes=request.result_bytes or 0,
-        data_centre=home.data_centre,
-        places=tuple(request.places or ()),
-        away_bytes=home.away_bytes,
-        apart_bytes=home.apart_bytes,
-        next_pools=home.next_pools,
-        alone=bool(request.alone),
-    )
