A pool without targets is told to no new batcher as a wait; slow calls don't hold the pace back

Ruled out: to tell none of it; the other pools' waits would be lost, too. Change: only waits with an end count; the pace goes by full calls at the most.

--- a/tests/passthrough/test_handover.py
+++ b/tests/passthrough/test_handover.py
@@ -48,6 +48,22 @@
     assert ahead(handover, 10.1) == 0
 
 
+@pytest.mark.parametrize("wait", [float("inf"), float("nan"), -1.0])
+def test_pools_without_targets_there_are_judged_by_what_is_here(wait):
+    handover = Handover()
+    handover.told({"q": wait}, 0.1, 10.0)
+    assert ahead(handover, 10.1) == 0
+
+
+def test_a_pool_that_lost_all_targets_is_told_and_taken_over():
+    """Its wait has no end; it once ended the requests of the next batcher with an error."""
+    nowhere = {pool: PoolLoad(lambda priority, due: 3, 0.0, 0.2) for pool in "pq"}
+    before, after = AdmissionBook(), AdmissionBook()
+    assert not before.admit(arrival("a"), nowhere, 10.0, SHARED).admitted
+    after.take_over(before.waits(10.1), 0.1, 10.2)
+    assert after.admit(arrival("b"), loads(), 10.3, SHARED).admitted
+
+
 def arrival(name, made=frozenset()):
     return Arrival(name, ROUTE, (1, 8), 1, 0.3, 6.0, name, made=made)
 
--- a/traystall/passthrough/admission/handover.py
+++ b/traystall/passthrough/admission/handover.py
@@ -5,6 +5,8 @@
 stages, all at once. Those who ask pass on how long the queues were when they were last told.
 """
 
+import math
+
 from traystall.passthrough.admission.forecast import PoolLoad
 
 # A gateway that batches is missed, and asked in another's place, within about this long, in
@@ -28,6 +30,8 @@
         if now - self._began > _MISSED_SECONDS or not 0.0 <= age <= _OLD_SECONDS:
             return
         for pool, wait in waits.items():
+            if not 0.0 <= wait < math.inf:
+                continue  # A pool had no targets there; that shows here, too.
             self._waits[pool] = max(wait, self._waits.get(pool, 0.0))
 
     def add_to(self, loads: dict[str, PoolLoad], now: float) -> dict[str, PoolLoad]:
--- a/traystall/passthrough/stages/piece_queue.py
+++ b/traystall/passthrough/stages/piece_queue.py
@@ -184,7 +184,8 @@
         """Return how long the next call is kept back for the sake of an even pace, in seconds."""
         if self._pool not in self._context.shared_pools():
             return 0.0
-        usual = self._call_seconds or profile.seconds(1)
+        # Calls of slow targets last longer, but the others shall not stand idle for them.
+        usual = min(self._call_seconds or profile.seconds(1), profile.seconds(profile.batch))
         waiting = len(self._waiting)
         return begins_at(self._last_began, usual, workers, waiting, profile.batch) - now
 
