A control daemon outlives an election that replaces its change of members

What callers saw: nothing at once; but each election that met a join, a promotion or a removal could end the former leader's daemon, when the group had most likely just lost another one. With three voters the next loss stops changes of the configuration and keyed work.

Cause: GroupRepair.lead_forever expected ConsensusError and CommitInDoubt. A change whose index another leader's entry takes fails with NoLeader, a ControlError, so the task died and ended the daemon.

Ruled out: change_members losing the error on its own; ConsensusError and CommitInDoubt were caught.

Change: the loop takes both bases; change_members tells what it raises and turns the log's NotLeader into the daemon's own error, renamed LeaderElsewhere, since two names a letter apart hid the fault. ControlGroup fails as soon as a task has died that a daemon can't do without, and at each stop: in tests such a daemon looked like a slow one. That is stricter for every test that uses it.

Whether it is also the cause of test_empty_newcomer's one failure is not shown.

--- a/tests/support/control_group.py
+++ b/tests/support/control_group.py
@@ -8,6 +8,7 @@
 from traystall.conf.settings import load
 from traystall.control.daemon import ControlDaemon
 from traystall.control.settings import SETTINGS, check_control
+from traystall.core import clock
 from traystall.core.exceptions import RpcError
 from traystall.rpc.gen.wire.ttypes import ApplyRequest, ReadRequest
 
@@ -73,7 +74,9 @@
 
     async def stop(self, name, wipe=False):
         """Stop a daemon without a word to the others; with `wipe` its disk is lost too."""
-        await self.daemons.pop(name).stop()
+        daemon = self.daemons.pop(name)
+        await daemon.stop()
+        _raise_failure(daemon)
         if wipe:
             shutil.rmtree(self._root / name)
 
@@ -83,8 +86,6 @@
 
     def leader(self):
         """Return the daemon that leads with a lease, or None."""
-        from traystall.core import clock
-
         now = clock.monotonic()
         leading = [d for d in self.daemons.values() if d.node.replica.holds_lease(now)]
         return leading[0] if leading else None
@@ -108,11 +109,27 @@
         }
 
     async def until(self, condition, seconds=20):
-        """Return once `condition` holds; fail after `seconds`."""
+        """Return once `condition` holds; fail after `seconds` or as soon as a daemon fails."""
         async with asyncio.timeout(seconds):
             while not condition():
+                self.raise_failure()
                 await asyncio.sleep(0.02)
 
+    def raise_failure(self):
+        """Raise what ended a daemon: its process would be gone, not merely slow."""
+        for daemon in self.daemons.values():
+            _raise_failure(daemon)
+
+    async def lead_with(self, daemon):
+        """Return once `daemon` leads with a lease; it must be a voter that is caught up."""
+        identity = daemon.node.replica.identity
+        while self.leader() is not daemon:
+            leader = self.leader()
+            if leader is not None:
+                leader.node.replica.hand_over(identity, clock.monotonic())
+                leader.node.pump()
+            await self.until(lambda former=leader: self.leader() not in (None, former))
+
     async def apply(self, name, number, content):
         """Send a configuration to one daemon; return its reply."""
         return await self.apply_entities(name, number, {"k": content})
@@ -131,3 +148,9 @@
         except RpcError:
             return None
         return reply.number, (reply.entities or {}).get("k")
+
+
+def _raise_failure(daemon):
+    for failed in (daemon.node.failed, daemon._background.failed):
+        if failed.done():
+            failed.result()
--- a/traystall/control/exceptions.py
+++ b/traystall/control/exceptions.py
@@ -11,7 +11,7 @@
     """Report that a command may or may not have been committed."""
 
 
-class NoLeader(ControlError):
+class LeaderElsewhere(ControlError):
     """Report that this daemon can't decide now; `leader` is where to ask, or empty."""
 
     def __init__(self, leader=""):
--- a/traystall/control/node.py
+++ b/traystall/control/node.py
@@ -13,7 +13,7 @@
 
 from traystall.consensus.models import EntryKind, Ready
 from traystall.consensus.replica import Replica
-from traystall.control.exceptions import CommitInDoubt, NoLeader
+from traystall.control.exceptions import CommitInDoubt, LeaderElsewhere
 from traystall.control.state import StateMachine
 from traystall.core import clock, metrics
 from traystall.core.exceptions import DiskFailed, NotLeader, RpcError
@@ -116,7 +116,7 @@
     async def propose(self, command: bytes, timeout: float):
         """Return the result of a committed command.
 
-        Raise NoLeader if it was not proposed here, CommitInDoubt if its fate is unknown.
+        Raise LeaderElsewhere if it is surely not in the log, CommitInDoubt if its fate is unknown.
         """
         future = asyncio.get_running_loop().create_future()
         self._proposals.append((command, future))
@@ -129,8 +129,16 @@
             raise CommitInDoubt("No majority confirmed the change in time.") from error
 
     async def change_members(self, members, timeout: float) -> None:
-        """Propose a change of members and return once it is committed."""
-        index = self.replica.propose_members(members, clock.monotonic())
+        """Propose a change of members and return once it is committed.
+
+        Raise LeaderElsewhere if this replica does not lead, or lost its place before the change
+        was committed and another leader's entry replaced it; CommitInDoubt if its fate is unknown;
+        ConsensusError if it may not be proposed now.
+        """
+        try:
+            index = self.replica.propose_members(members, clock.monotonic())
+        except NotLeader as error:
+            raise LeaderElsewhere(self.leader_address()) from error
         future = asyncio.get_running_loop().create_future()
         self._waiting[index] = (self.replica.term, future)
         self.pump()
@@ -156,7 +164,7 @@
             indexes = self.replica.propose(commands, clock.monotonic())
         except NotLeader:
             for _, future in proposals:
-                _fail(future, NoLeader(self.leader_address()))
+                _fail(future, LeaderElsewhere(self.leader_address()))
             return
         for index, (_, future) in zip(indexes, proposals, strict=True):
             self._waiting[index] = (self.replica.term, future)
@@ -240,7 +248,7 @@
         if term == entry.term:
             future.set_result(result)
         else:
-            future.set_exception(NoLeader(self.leader_address()))
+            future.set_exception(LeaderElsewhere(self.leader_address()))
 
     def _doubt_all(self):
         for _, future in self._waiting.values():
--- a/traystall/control/repair.py
+++ b/traystall/control/repair.py
@@ -8,7 +8,7 @@
 import logging
 
 from traystall.consensus.models import MemberRecord
-from traystall.control.exceptions import CommitInDoubt
+from traystall.control.exceptions import ControlError
 from traystall.control.node import Node
 from traystall.core import clock
 from traystall.core.exceptions import ConsensusError, RpcError, RpcRefused
@@ -60,7 +60,9 @@
             await asyncio.sleep(_REVIEW_SECONDS)
             try:
                 await self._review()
-            except (ConsensusError, CommitInDoubt) as error:
+            except (ConsensusError, ControlError) as error:
+                # Both bases: an election may replace the change at any step of it, and without
+                # this loop the daemon ends when the group has just lost another member.
                 logger.info("members not changed", extra={"why": str(error)})
 
     async def ask_forever(self) -> None:
--- a/traystall/control/service.py
+++ b/traystall/control/service.py
@@ -6,7 +6,7 @@
 from traystall.catalog.deltas import entities_digest, make_delta
 from traystall.catalog.models import ApplyBundle, ApplyOutcome, NumberRule, SupersedeBundle
 from traystall.control.evacuation import EvacuationOrders
-from traystall.control.exceptions import CommitInDoubt, NoLeader
+from traystall.control.exceptions import CommitInDoubt, LeaderElsewhere
 from traystall.control.members import MemberChanges
 from traystall.control.node import Node
 from traystall.control.subscribers import Subscribers
@@ -73,7 +73,7 @@
             return None
         try:
             return await handler(request)
-        except NoLeader as error:
+        except LeaderElsewhere as error:
             raise RpcRefused("not-leader", error.leader) from error
         except CommitInDoubt as error:
             raise RpcRefused("in-doubt", str(error)) from error
@@ -146,7 +146,7 @@
         replica = self._node.replica
         if not replica.is_leader and self._node.is_fresh():
             # Cut off from a leader, this daemon answers with what it knows itself.
-            raise NoLeader(self._node.leader_address())
+            raise LeaderElsewhere(self._node.leader_address())
         catalog = self._node.state.catalog
         unsettled = self._node.state.ledger.unsettled()
         doubtful = [
@@ -239,7 +239,7 @@
 
     def _require_lease(self):
         if not self._node.replica.holds_lease(clock.monotonic()):
-            raise NoLeader(self._node.leader_address())
+            raise LeaderElsewhere(self._node.leader_address())
 
 
 def _to_apply_reply(result):
