Members are told as changed once a majority holds the change

What callers saw: an operator who waits for `members` or `status` to show a repair before taking the next instance away could stop the group for good: no majority, so no configuration and no keyed work.

Cause: status and members told the newest members of the leader's log, committed or not. If the leader is then lost, the others still go by the members before, of which two are gone.

It takes an election that replaces a change, and with one of three voters lost only the leader with the longer log can win.

Change: status, members and the tests' look at a group tell the members at the commit index. The story of the unchanged test is a function now, so that a second test can play it with slow changes; its checks are the same, and what "voter" means in them is stricter than before.

--- a/tests/control/test_lost_place.py
+++ b/tests/control/test_lost_place.py
@@ -8,7 +8,7 @@
 
 from tests.control.test_self_repair import play
 from traystall.core.exceptions import RpcRefused
-from traystall.rpc.gen.wire.ttypes import JoinRequest, Member, MembersRequest
+from traystall.rpc.gen.wire.ttypes import JoinRequest, Member, MembersRequest, StatusRequest
 
 # So often a newcomer is announced until the leader appends the change before its lease ends.
 _MOST_TRIES = 5
@@ -118,3 +118,26 @@
             raise AssertionError("A change that was replaced was answered as done.")
 
     play(tmp_path, story)
+
+
+def test_change_that_only_the_leader_holds_is_not_told_as_done(tmp_path):
+    """An operator who reads a repair as done too early takes away the instance it counts on."""
+
+    async def story(group):
+        await group.until(lambda: group.leader() is not None)
+        leader = group.leader()
+        undo = keep_to_itself(leader)
+        lost = next(m for m in leader.node.replica.members if m.address != leader._address)
+        request = MembersRequest(action="remove", member=Member(identity=lost.identity))
+        asked = asyncio.create_task(leader.service.handle(request))
+        try:
+            await group.until(lambda: lost.identity not in leader.node.replica.voters)
+            listed = await leader.service.handle(MembersRequest(action="list"))
+            status = await leader.service.handle(StatusRequest())
+        finally:
+            undo()
+        assert lost.identity in {member.identity for member in listed.members}
+        assert lost.identity in {member.identity for member in status.members}
+        await asyncio.gather(asked, return_exceptions=True)
+
+    play(tmp_path, story)
--- a/tests/control/test_self_repair.py
+++ b/tests/control/test_self_repair.py
@@ -7,6 +7,9 @@
 from tests.support.control_group import ControlGroup
 from traystall.core.exceptions import RpcError
 
+# How long a message may wait in a daemon that a busy machine holds up, in seconds.
+_BUSY_SECONDS = 0.1
+
 
 def play(tmp_path, story, seconds=60):
     async def bounded():
@@ -38,21 +41,33 @@
     play(tmp_path, story)
 
 
+async def replace_each_founder(group):
+    """Stop each founder in turn and start a newcomer, then lose one more."""
+    await group.apply("a", 5, b"five")
+    lost = "abcd"
+    for name, newcomer in zip("abc", "def", strict=True):
+        await group.stop(name)
+        await group.start(newcomer)
+        lost = lost.replace(name, "")
+        await group.until(lambda: group.live_voters() == set(group.daemons))
+        await group.until(lambda: len(group.voters()) == 3)
+    assert await group.read("f") == (5, b"five")
+    await group.apply("d", 6, b"six")
+    await group.stop("e")
+    await group.until(lambda: group.leader() is not None)
+    assert await group.read("d") == (6, b"six")
+
+
 def test_empty_newcomer_takes_the_place_of_a_lost_member(tmp_path):
+    play(tmp_path, replace_each_founder)
+
+
+def test_newcomer_takes_a_place_while_changes_of_members_are_slow_on_their_way(tmp_path):
+    """A change that only the leader holds is no repair yet: a loss then may stop the group."""
+
     async def story(group):
-        await group.apply("a", 5, b"five")
-        lost = "abcd"
-        for name, newcomer in zip("abc", "def", strict=True):
-            await group.stop(name)
-            await group.start(newcomer)
-            lost = lost.replace(name, "")
-            await group.until(lambda: group.live_voters() == set(group.daemons))
-            await group.until(lambda: len(group.voters()) == 3)
-        assert await group.read("f") == (5, b"five")
-        await group.apply("d", 6, b"six")
-        await group.stop("e")
-        await group.until(lambda: group.leader() is not None)
-        assert await group.read("d") == (6, b"six")
+        group.delay_member_changes(_BUSY_SECONDS)
+        await replace_each_founder(group)
 
     play(tmp_path, story)
 
--- a/tests/support/control_group.py
+++ b/tests/support/control_group.py
@@ -6,6 +6,7 @@
 from tests.support.cluster import HOST, free_ports
 from traystall.catalog.deltas import entities_digest
 from traystall.conf.settings import load
+from traystall.consensus.models import EntryKind
 from traystall.control.daemon import ControlDaemon
 from traystall.control.settings import SETTINGS, check_control
 from traystall.core import clock
@@ -42,6 +43,7 @@
         self._founders = tuple(founders)
         self.daemons = {}
         self.http = {}
+        self._member_delay = 0.0
 
     async def start(self, name, founding=False):
         """Start a daemon on its folder, which is empty unless it ran before."""
@@ -64,6 +66,8 @@
         settings = load("traystall-control", SETTINGS, [check_control], argv, {})
         daemon = ControlDaemon(settings)
         await daemon.start()
+        if self._member_delay:
+            _delay_member_changes(daemon.node, self._member_delay)
         self.daemons[name] = daemon
         return daemon
 
@@ -72,6 +76,12 @@
         names = {*self._founders, *self.daemons} - {name}
         return sorted(self.addresses[known] for known in names)
 
+    def delay_member_changes(self, seconds):
+        """Send entries that change the members so much later, from all daemons."""
+        self._member_delay = seconds
+        for daemon in self.daemons.values():
+            _delay_member_changes(daemon.node, seconds)
+
     async def stop(self, name, wipe=False):
         """Stop a daemon without a word to the others; with `wipe` its disk is lost too."""
         daemon = self.daemons.pop(name)
@@ -91,21 +101,20 @@
         return leading[0] if leading else None
 
     def voters(self):
-        """Return the names of the voters as the leader knows them."""
+        """Return the names of the voters that the leader has committed."""
+        return {identity.split("/")[0] for identity in self._voting_identities()}
+
+    def _voting_identities(self):
         leader = self.leader()
         if leader is None:
             return set()
-        return {identity.split("/")[0] for identity in leader.node.replica.voters}
+        return {m.identity for m in leader.node.replica.committed_members if m.voter}
 
     def live_voters(self):
         """Return the names of daemons that run and vote under their present identity."""
-        leader = self.leader()
-        if leader is None:
-            return set()
+        voting = self._voting_identities()
         return {
-            name
-            for name, daemon in self.daemons.items()
-            if daemon.node.replica.identity in leader.node.replica.voters
+            name for name, daemon in self.daemons.items() if daemon.node.replica.identity in voting
         }
 
     async def until(self, condition, seconds=20):
@@ -154,3 +163,16 @@
     for failed in (daemon.node.failed, daemon._background.failed):
         if failed.done():
             failed.result()
+
+
+def _delay_member_changes(node, seconds):
+    send_one = node._send_one
+
+    async def send_later(address, message):
+        if any(
+            entry.kind == EntryKind.MEMBERS for entry in getattr(message, "entries", None) or ()
+        ):
+            await asyncio.sleep(seconds)
+        await send_one(address, message)
+
+    node._send_one = send_later
--- a/traystall/consensus/replica.py
+++ b/traystall/consensus/replica.py
@@ -110,9 +110,18 @@
         """Return the newest members in the log."""
         return self.log.members
 
+    @property
+    def committed_members(self):
+        """Return the newest members that a majority holds.
+
+        A newer change may still be undone by an election, and until it is committed a loss that
+        it would bear can stop the group.
+        """
+        return self.log.members_at(self.commit_index)
+
     @property
     def voters(self) -> set[str]:
-        """Return the identities that vote."""
+        """Return the identities that vote by the newest members, committed or not."""
         return {member.identity for member in self.members if member.voter}
 
     @property
--- a/traystall/control/members.py
+++ b/traystall/control/members.py
@@ -113,7 +113,8 @@
         replica = self._node.replica
         matched = {name: p.match_index for name, p in replica.progress.items()}
         return ttypes.MembersReply(
-            members=[to_wire_member(member) for member in replica.members],
+            # An operator who reads that a repair is done may take the next instance away.
+            members=[to_wire_member(member) for member in replica.committed_members],
             leader=self._node.leader_address(),
             commit=replica.commit_index,
             matched=matched,
--- a/traystall/control/service.py
+++ b/traystall/control/service.py
@@ -162,7 +162,7 @@
             number=catalog.number,
             digest=catalog.digest,
             gateways=self._subscribers.records(),
-            members=[to_wire_member(member) for member in replica.members],
+            members=[to_wire_member(member) for member in replica.committed_members],
             lease=replica.holds_lease(clock.monotonic()),
             doubtful=doubtful[:_DOUBTFUL_SHOWN],
             claims=len(self._node.state.ledger),
