One malformed message ends no control daemon; it is refused by itself

What callers saw: nothing so far, since peers are ours. A release that differs, or a broken sender, could end all control daemons with one message: no configuration, no keyed work, and with an address that can't be read in the log the same again at each start.

Cause: share_forever, lead_forever and the node's sends go by what they are told. decode took any message whose bytes could be read, and TypeError, AttributeError, ValueError and OverflowError ended tasks that end their daemon.

Generated messages of every kind were answered "internal" with a traceback each.

Change: what every release has always sent is required in the IDL (generated code committed), and decode checks it, inside nested messages too. A message that can't be read is refused as bad-message and its link goes on; a command that replicas could not apply is refused before it is proposed; a member's address is checked; a link to what is no address is unavailable; an age below 0 counts as 0; a watch of a registry that died is opened again, and its error is logged.

Ruled out: requiring more of StageRequest; its receivers do without, and tests send it so.

Conclusion: fixed for messages and commands. Contents of entities were not examined.

--- a/traystall/catalog/state.py
+++ b/traystall/catalog/state.py
@@ -15,6 +15,7 @@
     Revision,
     SupersedeBundle,
 )
+from traystall.core.exceptions import DeltaMismatch
 from traystall.core.serialization import pack, unpack
 
 # Deltas kept in memory for gateways that are a little behind.
@@ -47,7 +48,8 @@
                 outcome = ApplyOutcome.ACCEPTED
             return ApplyResult(outcome, holder, self.number, resent=True)
         if number <= self.number:
-            return ApplyResult(ApplyOutcome.STALE, self._history[self.number], self.number)
+            newest = self._history.get(self.number)
+            return ApplyResult(ApplyOutcome.STALE, newest, self.number)
         return None
 
     def apply(self, command: ApplyBundle) -> ApplyResult:
@@ -72,9 +74,11 @@
             return decided
         if command.delta.base != self.digest:
             return ApplyResult(ApplyOutcome.REBASE, None, self.number)
-        # Lower numbers are never asked about again under this rule.
-        self._history.clear()
-        return self._accept(command)
+        result = self._accept(command)
+        if result.outcome is ApplyOutcome.ACCEPTED:
+            # Lower numbers are never asked about again under this rule.
+            self._history = {command.number: result.revision}
+        return result
 
     def delta_since(self, digest: bytes) -> Delta | None:
         """Return one delta from the revision `digest` to the newest, or None if not kept."""
@@ -107,7 +111,11 @@
         self._deltas = {}
 
     def _accept(self, command):
-        self.entities = apply_delta(self.entities, self.digest, command.delta)
+        try:
+            self.entities = apply_delta(self.entities, self.digest, command.delta)
+        except DeltaMismatch:
+            # Raised out of the log, it would end every replica, again at each start.
+            return ApplyResult(ApplyOutcome.REBASE, None, self.number)
         self._remember(command.delta)
         self.digest = command.delta.result
         self.number = command.number
--- a/traystall/control/exceptions.py
+++ b/traystall/control/exceptions.py
@@ -11,6 +11,10 @@
     """Report that a command may or may not have been committed."""
 
 
+class InvalidCommand(ControlError):
+    """Report a command that replicas could not apply; it was not proposed."""
+
+
 class LeaderElsewhere(ControlError):
     """Report that this daemon can't decide now; `leader` is where to ask, or empty."""
 
--- a/traystall/control/members.py
+++ b/traystall/control/members.py
@@ -17,6 +17,8 @@
 _CATCH_UP_TIMEOUT = 60.0
 _POLL_SECONDS = 0.1
 
+_HIGHEST_PORT = 65535
+
 logger = logging.getLogger(__name__)
 
 
@@ -35,6 +37,8 @@
         action = actions.get(request.action)
         if action is None:
             raise RpcRefused("bad-request", f"'{request.action}' is not a members action.")
+        if request.member is None:
+            raise RpcRefused("bad-request", f"'{request.action}' needs a member.")
         self._require_leader()
         async with self._busy:
             await action(request)
@@ -59,7 +63,7 @@
         raise ConsensusError("No other voter took over in time.")
 
     async def _add(self, request):
-        member = _to_record(request.member, voter=False)
+        member = to_member_record(request.member, voter=False)
         known = {m.identity: m for m in self._node.replica.members}.get(member.identity)
         if known is not None and known.voter:
             return  # A resend of a change that is already done.
@@ -122,5 +126,12 @@
         )
 
 
-def _to_record(member, voter):
+def to_member_record(member: ttypes.Member, voter: bool) -> MemberRecord:
+    """Return a wire message as a member record; raise RpcRefused if it names no address.
+
+    Every replica sends to the members in its log, and a change of them can't be undone without it.
+    """
+    host, _, port = (member.address or "").rpartition(":")
+    if not host or not port.isdecimal() or int(port) > _HIGHEST_PORT:
+        raise RpcRefused("bad-request", f"'{member.address}' is no address of a control daemon.")
     return MemberRecord(member.identity, member.address, member.data_centre or "", voter)
--- a/traystall/control/node.py
+++ b/traystall/control/node.py
@@ -13,7 +13,7 @@
 
 from traystall.consensus.models import EntryKind, Ready
 from traystall.consensus.replica import Replica
-from traystall.control.exceptions import CommitInDoubt, LeaderElsewhere
+from traystall.control.exceptions import CommitInDoubt, InvalidCommand, LeaderElsewhere
 from traystall.control.state import StateMachine
 from traystall.core import clock, metrics
 from traystall.core.exceptions import DiskFailed, NotLeader, RpcError
@@ -116,8 +116,10 @@
     async def propose(self, command: bytes, timeout: float):
         """Return the result of a committed command.
 
-        Raise LeaderElsewhere if it is surely not in the log, CommitInDoubt if its fate is unknown.
+        Raise LeaderElsewhere if it is surely not in the log, CommitInDoubt if its fate is unknown,
+        InvalidCommand if it is none.
         """
+        self._require_valid(command)
         future = asyncio.get_running_loop().create_future()
         self._proposals.append((command, future))
         if len(self._proposals) == 1:
@@ -128,6 +130,13 @@
         except TimeoutError as error:
             raise CommitInDoubt("No majority confirmed the change in time.") from error
 
+    def _require_valid(self, command):
+        """Refuse what can't be applied: in the log it would end every replica at each start."""
+        try:
+            self.state.check(command)
+        except msgspec.DecodeError as error:
+            raise InvalidCommand(f"The command can't be applied: {error}.") from error
+
     async def change_members(self, members, timeout: float) -> None:
         """Propose a change of members and return once it is committed.
 
--- a/traystall/control/repair.py
+++ b/traystall/control/repair.py
@@ -9,6 +9,7 @@
 
 from traystall.consensus.models import MemberRecord
 from traystall.control.exceptions import ControlError
+from traystall.control.members import to_member_record
 from traystall.control.node import Node
 from traystall.core import clock
 from traystall.core.exceptions import ConsensusError, RpcError, RpcRefused
@@ -47,9 +48,8 @@
         replica = self._node.replica
         if not replica.is_leader:
             raise RpcRefused("not-leader", self._node.leader_address())
-        member = request.member
-        record = MemberRecord(member.identity, member.address, member.data_centre or "", False)
-        self._joining[member.identity] = (record, clock.monotonic())
+        record = to_member_record(request.member, voter=False)
+        self._joining[record.identity] = (record, clock.monotonic())
         return ttypes.JoinReply(
             outcome="noted", members=[to_wire_member(m) for m in replica.members]
         )
--- a/traystall/control/service.py
+++ b/traystall/control/service.py
@@ -6,7 +6,7 @@
 from traystall.catalog.deltas import entities_digest, make_delta
 from traystall.catalog.models import ApplyBundle, ApplyOutcome, NumberRule, SupersedeBundle
 from traystall.control.evacuation import EvacuationOrders
-from traystall.control.exceptions import CommitInDoubt, LeaderElsewhere
+from traystall.control.exceptions import CommitInDoubt, InvalidCommand, LeaderElsewhere
 from traystall.control.members import MemberChanges
 from traystall.control.node import Node
 from traystall.control.subscribers import Subscribers
@@ -17,6 +17,7 @@
 from traystall.ledger.models import Claim, Release, Settle
 from traystall.quarantine.wire import to_details
 from traystall.rpc.gen.wire import ttypes
+from traystall.rpc.messages import PEER_MESSAGES
 from traystall.rpc.records import to_wire_member
 
 COMMIT_TIMEOUT = 3.0
@@ -69,6 +70,8 @@
         """Return the reply to one request; consensus messages get none."""
         handler = self._handlers.get(type(request))
         if handler is None:
+            if not isinstance(request, PEER_MESSAGES):
+                raise RpcRefused("bad-method", "A control daemon does not serve this call.")
             self._node.deliver(request)
             return None
         try:
@@ -77,6 +80,8 @@
             raise RpcRefused("not-leader", error.leader) from error
         except CommitInDoubt as error:
             raise RpcRefused("in-doubt", str(error)) from error
+        except InvalidCommand as error:
+            raise RpcRefused("bad-request", str(error)) from error
         except ConsensusError as error:
             raise RpcRefused("refused", str(error)) from error
 
--- a/traystall/control/state.py
+++ b/traystall/control/state.py
@@ -44,6 +44,10 @@
         self.evacuations = Evacuations()
         self.suspects = SuspectTable()
 
+    def check(self, data: bytes) -> None:
+        """Raise msgspec.DecodeError if a command can't be applied."""
+        unpack(data, Command)
+
     def apply(self, data: bytes):
         """Apply one encoded command and return its typed result."""
         command = unpack(data, Command)
--- a/traystall/control/subscribers.py
+++ b/traystall/control/subscribers.py
@@ -162,6 +162,8 @@
     def _note(self, record, direct):
         now = clock.monotonic()
         version = self.table.version
-        self.table.put(to_row(record, now - (record.age or 0.0), direct))
+        # An age below 0 would list it for ever: later signs of it would be older.
+        age = max(0.0, record.age or 0.0)
+        self.table.put(to_row(record, now - age, direct))
         if self.table.version != version:
             self._wake_gathered()
--- a/traystall/registry/follower.py
+++ b/traystall/registry/follower.py
@@ -80,6 +80,10 @@
 
     def _review(self):
         wanted = set(self._addresses())
+        for address in [known for known, task in self._watches.items() if task.done()]:
+            # Not opened again, what that daemon's targets say would be missing here for good.
+            error = self._watches.pop(address).exception()
+            logger.error("registry watch failed", extra={"peer": address}, exc_info=error)
         for address in wanted - self._watches.keys():
             self._watches[address] = asyncio.create_task(self._watch_forever(address))
         for address in self._watches.keys() - wanted:
@@ -120,7 +124,14 @@
     def _take(self, reply: RegistryReply):
         now = clock.monotonic()
         for record in reply.targets or ():
-            self.merge(to_report(record), now - (record.age or 0.0))
+            try:
+                report = to_report(record)
+            except ValueError as error:
+                # A state that this release doesn't know, of one target.
+                extra = {"target": record.identity, "why": str(error)}
+                logger.warning("target not understood", extra=extra)
+                continue
+            self.merge(report, now - (record.age or 0.0))
         for identity, age in (reply.ages or {}).items():
             self.saw(identity, now - age)
         self.on_members(reply.members or [])
--- a/traystall/rpc/client.py
+++ b/traystall/rpc/client.py
@@ -121,7 +121,8 @@
                 )
                 notice_silence(writer.transport)
                 write_frame(writer, hello)
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            # The last two: an address that was told by a peer and is none.
             raise RpcUnavailable(f"{self.address} cannot be reached: {error}.") from error
         self._writer = writer
         traffic.watch_opened(writer)
--- a/traystall/rpc/gen/wire/ttypes.py
+++ b/traystall/rpc/gen/wire/ttypes.py
@@ -246,6 +246,12 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.call_id is None:
+            raise TProtocolException(message='Required field call_id is unset!')
+        if self.method is None:
+            raise TProtocolException(message='Required field method is unset!')
+        if self.reply is None:
+            raise TProtocolException(message='Required field reply is unset!')
         return
 
     def __repr__(self):
@@ -374,6 +380,14 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.cluster is None:
+            raise TProtocolException(message='Required field cluster is unset!')
+        if self.role is None:
+            raise TProtocolException(message='Required field role is unset!')
+        if self.protocol is None:
+            raise TProtocolException(message='Required field protocol is unset!')
+        if self.sender is None:
+            raise TProtocolException(message='Required field sender is unset!')
         return
 
     def __repr__(self):
@@ -570,6 +584,14 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.index is None:
+            raise TProtocolException(message='Required field index is unset!')
+        if self.term is None:
+            raise TProtocolException(message='Required field term is unset!')
+        if self.kind is None:
+            raise TProtocolException(message='Required field kind is unset!')
+        if self.command is None:
+            raise TProtocolException(message='Required field command is unset!')
         return
 
     def __repr__(self):
@@ -734,6 +756,22 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
+        if self.to is None:
+            raise TProtocolException(message='Required field to is unset!')
+        if self.sender is None:
+            raise TProtocolException(message='Required field sender is unset!')
+        if self.term is None:
+            raise TProtocolException(message='Required field term is unset!')
+        if self.last_index is None:
+            raise TProtocolException(message='Required field last_index is unset!')
+        if self.last_term is None:
+            raise TProtocolException(message='Required field last_term is unset!')
+        if self.pre_vote is None:
+            raise TProtocolException(message='Required field pre_vote is unset!')
+        if self.handover is None:
+            raise TProtocolException(message='Required field handover is unset!')
         return
 
     def __repr__(self):
@@ -862,6 +900,18 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
+        if self.to is None:
+            raise TProtocolException(message='Required field to is unset!')
+        if self.sender is None:
+            raise TProtocolException(message='Required field sender is unset!')
+        if self.term is None:
+            raise TProtocolException(message='Required field term is unset!')
+        if self.granted is None:
+            raise TProtocolException(message='Required field granted is unset!')
+        if self.pre_vote is None:
+            raise TProtocolException(message='Required field pre_vote is unset!')
         return
 
     def __repr__(self):
@@ -1047,6 +1097,24 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
+        if self.to is None:
+            raise TProtocolException(message='Required field to is unset!')
+        if self.sender is None:
+            raise TProtocolException(message='Required field sender is unset!')
+        if self.term is None:
+            raise TProtocolException(message='Required field term is unset!')
+        if self.prev_index is None:
+            raise TProtocolException(message='Required field prev_index is unset!')
+        if self.prev_term is None:
+            raise TProtocolException(message='Required field prev_term is unset!')
+        if self.entries is None:
+            raise TProtocolException(message='Required field entries is unset!')
+        if self.commit is None:
+            raise TProtocolException(message='Required field commit is unset!')
+        if self.round is None:
+            raise TProtocolException(message='Required field round is unset!')
         return
 
     def __repr__(self):
@@ -1199,6 +1267,22 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
+        if self.to is None:
+            raise TProtocolException(message='Required field to is unset!')
+        if self.sender is None:
+            raise TProtocolException(message='Required field sender is unset!')
+        if self.term is None:
+            raise TProtocolException(message='Required field term is unset!')
+        if self.success is None:
+            raise TProtocolException(message='Required field success is unset!')
+        if self.match_index is None:
+            raise TProtocolException(message='Required field match_index is unset!')
+        if self.hint_index is None:
+            raise TProtocolException(message='Required field hint_index is unset!')
+        if self.round is None:
+            raise TProtocolException(message='Required field round is unset!')
         return
 
     def __repr__(self):
@@ -1399,6 +1483,28 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
+        if self.to is None:
+            raise TProtocolException(message='Required field to is unset!')
+        if self.sender is None:
+            raise TProtocolException(message='Required field sender is unset!')
+        if self.term is None:
+            raise TProtocolException(message='Required field term is unset!')
+        if self.index is None:
+            raise TProtocolException(message='Required field index is unset!')
+        if self.index_term is None:
+            raise TProtocolException(message='Required field index_term is unset!')
+        if self.members is None:
+            raise TProtocolException(message='Required field members is unset!')
+        if self.offset is None:
+            raise TProtocolException(message='Required field offset is unset!')
+        if self.data is None:
+            raise TProtocolException(message='Required field data is unset!')
+        if self.last is None:
+            raise TProtocolException(message='Required field last is unset!')
+        if self.round is None:
+            raise TProtocolException(message='Required field round is unset!')
         return
 
     def __repr__(self):
@@ -1551,6 +1657,22 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
+        if self.to is None:
+            raise TProtocolException(message='Required field to is unset!')
+        if self.sender is None:
+            raise TProtocolException(message='Required field sender is unset!')
+        if self.term is None:
+            raise TProtocolException(message='Required field term is unset!')
+        if self.index is None:
+            raise TProtocolException(message='Required field index is unset!')
+        if self.offset is None:
+            raise TProtocolException(message='Required field offset is unset!')
+        if self.installed is None:
+            raise TProtocolException(message='Required field installed is unset!')
+        if self.round is None:
+            raise TProtocolException(message='Required field round is unset!')
         return
 
     def __repr__(self):
@@ -1655,6 +1777,14 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
+        if self.to is None:
+            raise TProtocolException(message='Required field to is unset!')
+        if self.sender is None:
+            raise TProtocolException(message='Required field sender is unset!')
+        if self.term is None:
+            raise TProtocolException(message='Required field term is unset!')
         return
 
     def __repr__(self):
@@ -1827,6 +1957,8 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.identity is None:
+            raise TProtocolException(message='Required field identity is unset!')
         return
 
     def __repr__(self):
@@ -1952,6 +2084,8 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.identity is None:
+            raise TProtocolException(message='Required field identity is unset!')
         return
 
     def __repr__(self):
@@ -2057,6 +2191,8 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.action is None:
+            raise TProtocolException(message='Required field action is unset!')
         return
 
     def __repr__(self):
@@ -2454,6 +2590,10 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        if self.digest is None:
+            raise TProtocolException(message='Required field digest is unset!')
         return
 
     def __repr__(self):
@@ -2802,6 +2942,16 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.identity is None:
+            raise TProtocolException(message='Required field identity is unset!')
+        if self.instance is None:
+            raise TProtocolException(message='Required field instance is unset!')
+        if self.data_centre is None:
+            raise TProtocolException(message='Required field data_centre is unset!')
+        if self.address is None:
+            raise TProtocolException(message='Required field address is unset!')
+        if self.rpc_address is None:
+            raise TProtocolException(message='Required field rpc_address is unset!')
         return
 
     def __repr__(self):
@@ -2918,6 +3068,8 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.digest is None:
+            raise TProtocolException(message='Required field digest is unset!')
         return
 
     def __repr__(self):
@@ -3192,6 +3344,8 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.gateway is None:
+            raise TProtocolException(message='Required field gateway is unset!')
         return
 
     def __repr__(self):
@@ -3272,6 +3426,10 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.digest is None:
+            raise TProtocolException(message='Required field digest is unset!')
+        if self.size is None:
+            raise TProtocolException(message='Required field size is unset!')
         return
 
     def __repr__(self):
@@ -3796,6 +3954,16 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.gateway is None:
+            raise TProtocolException(message='Required field gateway is unset!')
+        if self.result is None:
+            raise TProtocolException(message='Required field result is unset!')
+        if self.digest is None:
+            raise TProtocolException(message='Required field digest is unset!')
+        if self.offset is None:
+            raise TProtocolException(message='Required field offset is unset!')
+        if self.length is None:
+            raise TProtocolException(message='Required field length is unset!')
         return
 
     def __repr__(self):
@@ -5003,6 +5171,8 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.digest is None:
+            raise TProtocolException(message='Required field digest is unset!')
         return
 
     def __repr__(self):
@@ -5268,6 +5438,10 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.digest is None:
+            raise TProtocolException(message='Required field digest is unset!')
+        if self.trial is None:
+            raise TProtocolException(message='Required field trial is unset!')
         return
 
     def __repr__(self):
@@ -5648,6 +5822,18 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.customer is None:
+            raise TProtocolException(message='Required field customer is unset!')
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
+        if self.claim_id is None:
+            raise TProtocolException(message='Required field claim_id is unset!')
+        if self.claimant is None:
+            raise TProtocolException(message='Required field claimant is unset!')
+        if self.retention is None:
+            raise TProtocolException(message='Required field retention is unset!')
         return
 
     def __repr__(self):
@@ -5908,6 +6094,14 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.customer is None:
+            raise TProtocolException(message='Required field customer is unset!')
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.claim_id is None:
+            raise TProtocolException(message='Required field claim_id is unset!')
+        if self.digest is None:
+            raise TProtocolException(message='Required field digest is unset!')
         return
 
     def __repr__(self):
@@ -6068,6 +6262,12 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.customer is None:
+            raise TProtocolException(message='Required field customer is unset!')
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.claim_id is None:
+            raise TProtocolException(message='Required field claim_id is unset!')
         return
 
     def __repr__(self):
@@ -6228,6 +6428,12 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.customer is None:
+            raise TProtocolException(message='Required field customer is unset!')
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
+        if self.permits is None:
+            raise TProtocolException(message='Required field permits is unset!')
         return
 
     def __repr__(self):
@@ -6320,6 +6526,12 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
+        if self.permits is None:
+            raise TProtocolException(message='Required field permits is unset!')
+        if self.seconds is None:
+            raise TProtocolException(message='Required field seconds is unset!')
         return
 
     def __repr__(self):
@@ -6424,6 +6636,14 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.claim_id is None:
+            raise TProtocolException(message='Required field claim_id is unset!')
+        if self.customer is None:
+            raise TProtocolException(message='Required field customer is unset!')
+        if self.result is None:
+            raise TProtocolException(message='Required field result is unset!')
+        if self.retention is None:
+            raise TProtocolException(message='Required field retention is unset!')
         return
 
     def __repr__(self):
@@ -6584,6 +6804,12 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.claim_id is None:
+            raise TProtocolException(message='Required field claim_id is unset!')
+        if self.customer is None:
+            raise TProtocolException(message='Required field customer is unset!')
+        if self.data_centre is None:
+            raise TProtocolException(message='Required field data_centre is unset!')
         return
 
     def __repr__(self):
@@ -6852,6 +7078,10 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.identity is None:
+            raise TProtocolException(message='Required field identity is unset!')
+        if self.state is None:
+            raise TProtocolException(message='Required field state is unset!')
         return
 
     def __repr__(self):
@@ -6992,6 +7222,10 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.epoch is None:
+            raise TProtocolException(message='Required field epoch is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
         return
 
     def __repr__(self):
@@ -7174,6 +7408,10 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.epoch is None:
+            raise TProtocolException(message='Required field epoch is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
         return
 
     def __repr__(self):
@@ -7536,6 +7774,18 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.pool is None:
+            raise TProtocolException(message='Required field pool is unset!')
+        if self.request_id is None:
+            raise TProtocolException(message='Required field request_id is unset!')
+        if self.stage is None:
+            raise TProtocolException(message='Required field stage is unset!')
+        if self.pieces is None:
+            raise TProtocolException(message='Required field pieces is unset!')
+        if self.seconds_left is None:
+            raise TProtocolException(message='Required field seconds_left is unset!')
+        if self.call_id is None:
+            raise TProtocolException(message='Required field call_id is unset!')
         return
 
     def __repr__(self):
@@ -7790,6 +8040,10 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.call_id is None:
+            raise TProtocolException(message='Required field call_id is unset!')
+        if self.request_id is None:
+            raise TProtocolException(message='Required field request_id is unset!')
         return
 
     def __repr__(self):
@@ -7878,6 +8132,10 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.pool is None:
+            raise TProtocolException(message='Required field pool is unset!')
+        if self.handles is None:
+            raise TProtocolException(message='Required field handles is unset!')
         return
 
     def __repr__(self):
@@ -8086,6 +8344,16 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.pool is None:
+            raise TProtocolException(message='Required field pool is unset!')
+        if self.request_id is None:
+            raise TProtocolException(message='Required field request_id is unset!')
+        if self.parts is None:
+            raise TProtocolException(message='Required field parts is unset!')
+        if self.sizes is None:
+            raise TProtocolException(message='Required field sizes is unset!')
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
         return
 
     def __repr__(self):
@@ -8246,6 +8514,12 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.pool is None:
+            raise TProtocolException(message='Required field pool is unset!')
+        if self.request_id is None:
+            raise TProtocolException(message='Required field request_id is unset!')
+        if self.what is None:
+            raise TProtocolException(message='Required field what is unset!')
         return
 
     def __repr__(self):
@@ -8474,6 +8748,8 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.life is None:
+            raise TProtocolException(message='Required field life is unset!')
         return
 
     def __repr__(self):
@@ -8591,6 +8867,8 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.known is None:
+            raise TProtocolException(message='Required field known is unset!')
         return
 
     def __repr__(self):
@@ -8708,6 +8986,12 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.lends is None:
+            raise TProtocolException(message='Required field lends is unset!')
+        if self.granted is None:
+            raise TProtocolException(message='Required field granted is unset!')
+        if self.known is None:
+            raise TProtocolException(message='Required field known is unset!')
         return
 
     def __repr__(self):
@@ -8788,6 +9072,8 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.life is None:
+            raise TProtocolException(message='Required field life is unset!')
         return
 
     def __repr__(self):
@@ -8946,6 +9232,8 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.member is None:
+            raise TProtocolException(message='Required field member is unset!')
         return
 
     def __repr__(self):
--- a/traystall/rpc/messages.py
+++ b/traystall/rpc/messages.py
@@ -1,7 +1,9 @@
 """Encode and decode wire messages; the one place that knows thrift's protocol classes."""
 
+import functools
+
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
-from thrift.Thrift import TException
+from thrift.Thrift import TException, TType
 from thrift.transport.TTransport import TMemoryBuffer
 from thrift.TSerialization import serialize
 
@@ -83,6 +85,16 @@
     Method.LIFT: ttypes.LiftReply,
     Method.PERMIT: ttypes.PermitReply,
 }
+# What replicas of the log send one another; none is answered as a call.
+PEER_MESSAGES = (
+    ttypes.VoteRequest,
+    ttypes.VoteReply,
+    ttypes.AppendRequest,
+    ttypes.AppendReply,
+    ttypes.SnapshotChunk,
+    ttypes.SnapshotReply,
+    ttypes.TimeoutNow,
+)
 METHOD_OF_REQUEST = {kind: method for method, kind in REQUEST_TYPES.items()}
 
 
@@ -92,10 +104,38 @@
 
 
 def decode(kind, data: bytes):
-    """Return `data` decoded as the generated class `kind`, or raise RpcError."""
+    """Return `data` decoded as the generated class `kind`.
+
+    Raise RpcError if it can't be decoded, or lacks a field that is required: the loops that all
+    daemons depend on go by what they are told, and one row without its identity ended them all.
+    """
     message = kind()
     try:
         message.read(_factory.getProtocol(TMemoryBuffer(data)))
+        _validate(message)
     except _DECODE_ERRORS as error:
         raise RpcError(f"A frame could not be decoded as {kind.__name__}: {error}.") from error
     return message
+
+
+def _validate(message):
+    """Raise TProtocolException if the message or one inside it lacks a required field."""
+    message.validate()
+    for name, is_list in _nested_fields(type(message)):
+        value = getattr(message, name)
+        for nested in value or () if is_list else (value,):
+            if nested is not None:
+                _validate(nested)
+
+
+@functools.cache
+def _nested_fields(kind) -> tuple[tuple[str, bool], ...]:
+    """Return the names of the fields that hold messages, and whether each holds a list of them."""
+    found = []
+    for spec in filter(None, kind.thrift_spec):
+        _, field_type, name, inner = spec[:4]
+        if field_type == TType.STRUCT:
+            found.append((name, False))
+        elif field_type == TType.LIST and inner[0] == TType.STRUCT:
+            found.append((name, True))
+    return tuple(found)
--- a/traystall/rpc/server.py
+++ b/traystall/rpc/server.py
@@ -12,6 +12,8 @@
 from traystall.rpc.messages import REQUEST_TYPES, decode, encode
 
 _GREETING_TIMEOUT = 5.0
+# The code by which a message is refused that can't be decoded or lacks a field.
+BAD_MESSAGE = "bad-message"
 
 logger = logging.getLogger(__name__)
 
@@ -81,14 +83,35 @@
             kind = REQUEST_TYPES.get(frame.method)
             if kind is None:
                 raise RpcError(f"Method {frame.method} is unknown.")
-            request = decode(kind, frame.body)
+            try:
+                request = decode(kind, frame.body)
+            except RpcError as error:
+                await self._refuse(writer, frame, error)
+                continue
             if frame.call_id == 0:
-                await self._handler(request)
+                await self._take(request)
                 continue
             task = asyncio.create_task(self._answer(writer, frame, request))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    async def _refuse(self, writer, frame, error):
+        """Refuse one message that can't be read; the link goes on for those that can."""
+        logger.warning("message refused", extra={"method": frame.method, "why": str(error)})
+        if frame.call_id:
+            refusal = Frame(call_id=frame.call_id, method=frame.method, reply=True)
+            refusal.error, refusal.detail = BAD_MESSAGE, str(error)
+            await self._write(writer, refusal)
+
+    async def _take(self, request):
+        """Hand a message over that wants no reply; its error must not end the link of others."""
+        try:
+            await self._handler(request)
+        except RpcRefused as error:
+            logger.warning("message refused", extra={"why": str(error)})
+        except Exception:  # noqa: BLE001 - whatever it was, it concerns this message alone.
+            logger.exception("message failed")
+
     async def _answer(self, writer, frame, request):
         reply = Frame(call_id=frame.call_id, method=frame.method, reply=True)
         try:
@@ -100,6 +123,9 @@
             logger.exception("call failed")
             reply.error = "internal"
             reply.detail = type(error).__name__
+        await self._write(writer, reply)
+
+    async def _write(self, writer, reply):
         # The peer may have gone meanwhile; it then asks again over a new link.
         with contextlib.suppress(RuntimeError, OSError):
             write_frame(writer, reply)
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -1,6 +1,7 @@
 // Messages between traystall's own processes. Regenerate with:
 //   thrift --gen py:slots -out traystall/rpc/gen traystall/rpc/traystall.thrift
 // Times are in seconds on no particular clock unless a field says otherwise.
+// A field is required where every release has always sent it; a message without one is refused.
 namespace py wire
 
 enum Method {
@@ -46,19 +47,19 @@
 
 // One framed exchange. call_id 0 means that no reply is expected.
 struct Frame {
-  1: i64 call_id
-  2: i32 method
-  3: bool reply
+  1: required i64 call_id
+  2: required i32 method
+  3: required bool reply
   4: binary body
   5: string error
   6: string detail
 }
 
 struct Hello {
-  1: string cluster
-  2: string role
-  3: i32 protocol
-  4: string sender
+  1: required string cluster
+  2: required string role
+  3: required i32 protocol
+  4: required string sender
   5: binary nonce
   6: binary signature
 }
@@ -66,61 +67,61 @@
 struct HelloReply { 1: bool accepted, 2: string reason, 3: string sender }
 
 // ---- consensus ----
-struct LogEntry { 1: i64 index, 2: i64 term, 3: i32 kind, 4: binary command }
+struct LogEntry { 1: required i64 index, 2: required i64 term, 3: required i32 kind, 4: required binary command }
 
 struct VoteRequest {
-  1: string group, 2: string to, 3: string sender, 4: i64 term
-  5: i64 last_index, 6: i64 last_term, 7: bool pre_vote, 8: bool handover
+  1: required string group, 2: required string to, 3: required string sender, 4: required i64 term
+  5: required i64 last_index, 6: required i64 last_term, 7: required bool pre_vote, 8: required bool handover
   20: string sender_address
 }
 struct VoteReply {
-  1: string group, 2: string to, 3: string sender, 4: i64 term
-  5: bool granted, 6: bool pre_vote
+  1: required string group, 2: required string to, 3: required string sender, 4: required i64 term
+  5: required bool granted, 6: required bool pre_vote
 }
 struct AppendRequest {
-  1: string group, 2: string to, 3: string sender, 4: i64 term
-  5: i64 prev_index, 6: i64 prev_term, 7: list<LogEntry> entries
-  8: i64 commit, 9: i64 round
+  1: required string group, 2: required string to, 3: required string sender, 4: required i64 term
+  5: required i64 prev_index, 6: required i64 prev_term, 7: required list<LogEntry> entries
+  8: required i64 commit, 9: required i64 round
   20: string sender_address
 }
 struct AppendReply {
-  1: string group, 2: string to, 3: string sender, 4: i64 term
-  5: bool success, 6: i64 match_index, 7: i64 hint_index, 8: i64 round
+  1: required string group, 2: required string to, 3: required string sender, 4: required i64 term
+  5: required bool success, 6: required i64 match_index, 7: required i64 hint_index, 8: required i64 round
 }
 struct SnapshotChunk {
-  1: string group, 2: string to, 3: string sender, 4: i64 term
-  5: i64 index, 6: i64 index_term, 7: binary members
-  8: i64 offset, 9: binary data, 10: bool last, 11: i64 round
+  1: required string group, 2: required string to, 3: required string sender, 4: required i64 term
+  5: required i64 index, 6: required i64 index_term, 7: required binary members
+  8: required i64 offset, 9: required binary data, 10: required bool last, 11: required i64 round
   20: string sender_address
 }
 struct SnapshotReply {
-  1: string group, 2: string to, 3: string sender, 4: i64 term
-  5: i64 index, 6: i64 offset, 7: bool installed, 8: i64 round
+  1: required string group, 2: required string to, 3: required string sender, 4: required i64 term
+  5: required i64 index, 6: required i64 offset, 7: required bool installed, 8: required i64 round
 }
-struct TimeoutNow { 1: string group, 2: string to, 3: string sender, 4: i64 term }
+struct TimeoutNow { 1: required string group, 2: required string to, 3: required string sender, 4: required i64 term }
 
 // ---- formation and members ----
 struct ProbeRequest { 1: string instance }
-struct Member { 1: string identity, 2: string address, 3: string data_centre, 4: bool voter }
+struct Member { 1: required string identity, 2: string address, 3: string data_centre, 4: bool voter }
 struct ProbeReply {
-  1: string identity, 2: bool empty, 3: string leader, 4: list<Member> members, 5: i64 term
+  1: required string identity, 2: bool empty, 3: string leader, 4: list<Member> members, 5: i64 term
 }
-struct MembersRequest { 1: string action, 2: Member member, 3: string replaces, 4: string token }
+struct MembersRequest { 1: required string action, 2: Member member, 3: string replaces, 4: string token }
 struct MembersReply { 1: list<Member> members, 2: string leader, 3: i64 commit, 4: map<string, i64> matched, 5: bool done }
 struct HandoverRequest { 1: string token }
 struct HandoverReply { 1: string leader }
 
 // ---- catalog ----
 struct ApplyRequest {
-  1: i64 number, 2: binary digest, 3: map<string, binary> entities
+  1: required i64 number, 2: required binary digest, 3: map<string, binary> entities
   4: string operator, 5: string token
 }
 struct ApplyReply {
   1: string outcome, 2: i64 number, 3: binary digest, 4: string winner, 5: i64 current, 6: bool resent
 }
 struct GatewayRecord {
-  1: string identity, 2: string instance, 3: string data_centre, 4: string address
-  5: string rpc_address, 6: i64 number, 7: string state, 8: double age
+  1: required string identity, 2: required string instance, 3: required string data_centre, 4: required string address
+  5: required string rpc_address, 6: i64 number, 7: string state, 8: double age
   // Targets that this gateway knows to be leaving, as name@incarnation.
   9: list<string> leaving
   // Seconds since it started.
@@ -135,12 +136,12 @@
 // A request under which targets have ended, by its digest: how many did, and how many seconds it stays
 // refused, if it is.
 struct SuspectRecord {
-  1: binary digest, 2: string customer, 3: string route, 4: i32 ends, 5: double refused
+  1: required binary digest, 2: string customer, 3: string route, 4: i32 ends, 5: double refused
 }
 // What changed among the suspects since the version that the watcher knows, or all of them if full.
 struct Suspects { 1: i64 version, 2: bool full, 3: list<SuspectRecord> changed, 4: list<binary> removed }
 struct WatchRequest {
-  1: GatewayRecord gateway, 2: binary digest, 3: i64 directory_version
+  1: required GatewayRecord gateway, 2: binary digest, 3: i64 directory_version
   // The most bytes of changed entities that the reply may carry; more is offered. None: any.
   4: i64 inline_bytes
   // The version known of the directory and the life of the control daemon that told it. A daemon
@@ -152,7 +153,7 @@
   13: i64 suspects_version
 }
 // A packed delta or full copy that is fetched in chunks: its digest and size in bytes.
-struct Offer { 1: binary digest, 2: i64 size }
+struct Offer { 1: required binary digest, 2: required i64 size }
 // What is evacuated at a version; a higher version replaces all of a lower one.
 struct Evacuated { 1: i64 version, 2: list<string> data_centres }
 struct WatchReply {
@@ -171,8 +172,8 @@
 }
 // Ask for a part of what was offered. Who does not hold it makes it of base and result again.
 struct TransferRequest {
-  1: GatewayRecord gateway, 2: binary base, 3: binary result, 4: binary digest
-  5: i64 offset, 6: i64 length
+  1: required GatewayRecord gateway, 2: binary base, 3: required binary result, 4: required binary digest
+  5: required i64 offset, 6: required i64 length
 }
 // Not known: another revision is in force there, or it packs otherwise.
 struct TransferReply { 1: bool known, 2: binary data }
@@ -199,46 +200,46 @@
 
 // ---- requests under which targets have ended ----
 struct EndedRun {
-  1: binary digest, 2: string customer, 3: string route, 4: string pool, 5: string life
+  1: required binary digest, 2: string customer, 3: string route, 4: string pool, 5: string life
   6: string evidence, 7: string trial
 }
 struct ReportRunsRequest { 1: list<EndedRun> ended, 2: list<binary> served, 3: list<string> released }
 struct ReportRunsReply { 1: i64 version }
-struct TrialRequest { 1: binary digest, 2: string trial }
+struct TrialRequest { 1: required binary digest, 2: required string trial }
 struct TrialReply { 1: string verdict, 2: double seconds }
 struct LiftRequest { 1: binary digest, 2: string operator, 3: string token }
 struct LiftReply { 1: bool lifted }
 
 // ---- ledger ----
 struct ClaimRequest {
-  1: string customer, 2: string key, 3: binary fingerprint, 4: string claim_id
-  5: string claimant, 6: double retention, 7: string stage
+  1: required string customer, 2: required string key, 3: required binary fingerprint, 4: required string claim_id
+  5: required string claimant, 6: required double retention, 7: string stage
 }
 struct ClaimReply {
   1: string outcome, 2: string claim_id, 3: string claimant, 4: bool claimant_alive
   5: binary digest, 6: list<string> holders
 }
 struct SettleRequest {
-  1: string customer, 2: string key, 3: string claim_id, 4: binary digest, 5: list<string> holders
+  1: required string customer, 2: required string key, 3: required string claim_id, 4: required binary digest, 5: list<string> holders
 }
 struct SettleReply { 1: string outcome }
-struct ReleaseRequest { 1: string customer, 2: string key, 3: string claim_id }
+struct ReleaseRequest { 1: required string customer, 2: required string key, 3: required string claim_id }
 struct ReleaseReply { 1: string outcome }
 
 // ---- customers' limits between gateways of one data centre ----
-struct BorrowRequest { 1: string customer, 2: double tokens, 3: i32 permits }
-struct BorrowReply { 1: double tokens, 2: i32 permits, 3: double seconds }
+struct BorrowRequest { 1: required string customer, 2: required double tokens, 3: required i32 permits }
+struct BorrowReply { 1: required double tokens, 2: required i32 permits, 3: required double seconds }
 
 // ---- kept results between gateways of a customer's data centres ----
-struct HoldResultRequest { 1: string claim_id, 2: string customer, 3: binary result, 4: double retention }
+struct HoldResultRequest { 1: required string claim_id, 2: required string customer, 3: required binary result, 4: required double retention }
 struct HoldResultReply { 1: bool held }
-struct FetchResultRequest { 1: string claim_id, 2: string customer, 3: string data_centre }
+struct FetchResultRequest { 1: required string claim_id, 2: required string customer, 3: required string data_centre }
 struct FetchResultReply { 1: bool found, 2: binary result }
 
 // ---- targets that register themselves ----
 struct TargetRecord {
-  1: string identity, 2: string pool, 3: string address, 4: string data_centre
-  5: string version, 6: i32 slots, 7: string state, 8: i64 sequence
+  1: required string identity, 2: string pool, 3: string address, 4: string data_centre
+  5: string version, 6: i32 slots, 7: required string state, 8: i64 sequence
   // Seconds of slow start left, and seconds since the target's last own report.
   9: double warming, 10: double age
   // When this life began, in Unix milliseconds; 0 if that is not known.
@@ -247,23 +248,23 @@
 // A watch of one registry: `epoch` names the life of the registry, `version` what is known of it.
 // `number` is the newest revision of the configuration that the watcher holds, or that is known.
 struct RegistryRequest {
-  1: string sender, 2: string epoch, 3: i64 version, 4: i64 number, 5: i64 evacuation_version
+  1: string sender, 2: required string epoch, 3: required i64 version, 4: i64 number, 5: i64 evacuation_version
   // Seconds since this registry last told its ages; absent, they are told with each reply.
   10: double ages_told
   // The version known of the suspects; absent, they are not told.
   11: i64 suspects_version
 }
 struct RegistryReply {
-  1: string epoch, 2: i64 version, 3: list<TargetRecord> targets
+  1: required string epoch, 2: required i64 version, 3: list<TargetRecord> targets
   4: map<string, double> ages, 5: list<Member> members, 6: i64 number, 7: Evacuated evacuated
   8: Suspects suspects
 }
 
 // ---- pieces of stages, gathered by one gateway a pool ----
 struct StageRequest {
-  1: string pool, 2: string request_id, 3: i32 stage, 4: list<i32> pieces
-  5: string key, 6: list<string> inputs, 7: double seconds_left, 8: i32 priority
-  9: i64 result_bytes, 10: string call_id, 11: double seconds_to_start
+  1: required string pool, 2: required string request_id, 3: required i32 stage, 4: required list<i32> pieces
+  5: string key, 6: list<string> inputs, 7: required double seconds_left, 8: i32 priority
+  9: i64 result_bytes, 10: required string call_id, 11: double seconds_to_start
   // Where the results will be read.
   12: string data_centre
   // What the request will ask for in all, and what is the same when its caller tries again.
@@ -290,40 +291,40 @@
   // How long the last of its pieces waited for a call, and how long that call took, in seconds.
   6: double waited, 7: double called
 }
-struct StageCancel { 1: string call_id, 2: string request_id }
+struct StageCancel { 1: required string call_id, 2: required string request_id }
 // Results that were given up, told to the gateway that counts the room of their makers.
-struct StageFreed { 1: string pool, 2: list<string> handles }
+struct StageFreed { 1: required string pool, 2: required list<string> handles }
 // An engine for a prompt, chosen by one gateway for all; what became of it.
 struct PlaceRequest {
-  1: string pool, 2: string request_id, 3: list<string> parts, 4: list<i64> sizes, 5: i64 tokens
+  1: required string pool, 2: required string request_id, 3: required list<string> parts, 4: required list<i64> sizes, 5: required i64 tokens
   6: string data_centre, 7: i64 input_bytes, 8: list<string> excluded, 9: bool book
   10: list<string> places
 }
 struct PlaceReply { 1: string identity }
-struct PlaceNote { 1: string pool, 2: string request_id, 3: string what }
+struct PlaceNote { 1: required string pool, 2: required string request_id, 3: required string what }
 struct PingRequest { 1: string sender }
 struct PingReply { 1: string identity }
 
 // ---- what targets take from all gateways together ----
 // What is known of one life of a target: how many requests a second it takes (absent: any number),
 // and how many seconds ago the request was sent whose answer said so.
-struct TargetLimitRecord { 1: string life, 2: double per_second, 3: double age }
+struct TargetLimitRecord { 1: required string life, 2: double per_second, 3: double age }
 // Ask for one request to a target, to be sent within `patience` seconds; `spare` marks what may as
 // well be left out.
 struct PermitRequest {
-  1: string sender, 2: TargetLimitRecord known, 3: string data_centre, 4: double patience, 5: bool spare
+  1: string sender, 2: required TargetLimitRecord known, 3: string data_centre, 4: double patience, 5: bool spare
 }
 // `lends` is false where another gateway lends for this target. Granted, the request may be sent
 // from `wait` seconds on; else that is when the next may, and askers come back spread over `spread`.
 struct PermitReply {
-  1: bool lends, 2: bool granted, 3: double wait, 4: double spread, 5: TargetLimitRecord known
+  1: required bool lends, 2: required bool granted, 3: double wait, 4: double spread, 5: required TargetLimitRecord known
 }
 // A permit that is not used, for a moment in so many seconds.
-struct PermitReturn { 1: string life, 2: double left }
+struct PermitReturn { 1: required string life, 2: double left }
 struct LimitNews { 1: string sender, 2: list<TargetLimitRecord> limits }
 
 // ---- members that come by themselves, reads of the configuration ----
-struct JoinRequest { 1: Member member }
+struct JoinRequest { 1: required Member member }
 struct JoinReply { 1: string outcome, 2: list<Member> members }
 struct ReadRequest { 1: string sender }
 struct ReadReply { 1: i64 number, 2: binary digest, 3: map<string, binary> entities }
