--- a/tests/consensus/test_breakages.py
+++ b/tests/consensus/test_breakages.py
@@ -108,7 +108,9 @@
 
 def minority_commits(patch):
     """One acknowledgement is enough."""
-    patch.setattr("traystall.consensus.replica.reached_by_majority", lambda v: max(v, default=0))
+    for module in ("replica", "replication"):
+        name = f"traystall.consensus.{module}.reached_by_majority"
+        patch.setattr(name, lambda v: max(v, default=0))
     assert reached_by_majority([1, 2, 3]) == 2
 
 
