Large log entries travel in parts, with heartbeats in between

What callers saw: while a configuration of some hundred KB was on its way over a narrow link between control daemons, one election followed the other, and nothing else was confirmed: 19.7 s for 600 KB at 5 Mbit/s, 64.9 s for 1,000 KB.

Cause: an entry was one message, and heartbeats stood behind it for longer than an election takes; next_index moved on as it was sent, so each new leader and each refusal sent it whole again while copies were on the link; and what an operator repeats is appended again.

Evidence: tests/consensus/test_append_width.py, red in all three cases on the sources before: 8, 30 and 9 elections, 12, 52 and 33 MB sent.

Ruled out: a second link for heartbeats (the copies stay, and a full link holds it up as well); packed commands (earlier releases can't read them); entries split in the log.

Change: an entry above 32 KB goes in parts below the log, one on the way to each peer; a heartbeat names the entry before it. The follower takes the whole as if it had come in one message. Parts are told by index and term, held for one entry, bounded, and sent only to peers that say that they take them. Small entries on their way are bounded by bytes too.

After, the same test unchanged: 3.4, 5.5 and 5.5 s, no election, 1.2, 2.0 and 3.0 MB. Five other widths with a small change each 0.1 s keep their leader. 240 schedules of any faults with nearly all entries in parts, half of them over two releases that change at each start; 60 faults at a part or its answer.

Why it works: no message is longer on its link than an election bears, and what a follower holds is not sent again.

--- a/tests/consensus/test_append_width.py
+++ b/tests/consensus/test_append_width.py
@@ -1,7 +1,7 @@
 """A large entry over the narrow link of a leader must not cost it its place.
 
-Heartbeats stand in the queue behind the entry, so the followers elect another leader, to whom the
-change is proposed again while the first copies still fill the links.
+Guards against heartbeats that stand in the queue behind the entry: the followers elect another
+leader, to whom the change is proposed again while the first copies still fill the links.
 """
 
 import pytest
--- a/traystall/consensus/progress.py
+++ b/traystall/consensus/progress.py
@@ -2,7 +2,11 @@
 
 import msgspec
 
+from traystall.consensus.transfers import Transfer
+
 MAX_INFLIGHT_ENTRIES = 4096
+# What may wait on a link before a heartbeat: 0.2 s at 2.5 Mbit/s.
+MAX_INFLIGHT_BYTES = 64 * 1024
 
 
 class Progress(msgspec.Struct):
@@ -12,22 +16,33 @@
     match_index: int = 0
     acked_round: int = 0
     acked_round_at: float = float("-inf")
-    snapshot_index: int = 0
-    snapshot_offset: int = 0
-    snapshot_sent_at: float = float("-inf")
-    # How long a reply to a chunk is waited for, in seconds, and whether this chunk was sent again.
-    snapshot_wait: float = 0.0
-    snapshot_resent: bool = False
+    # The snapshot and the large entry that are being sent, if any.
+    snapshot: Transfer | None = None
+    entry: Transfer | None = None
+    # Whether the peer takes entries in parts; None until it has answered.
+    takes_parts: bool | None = None
+    # Entries on their way: the last index of each message and its bytes, and the sum of these.
+    in_flight: list[tuple[int, int]] = []
+    in_flight_bytes: int = 0
 
     def may_send(self) -> bool:
         """Return whether more entries may be put in flight."""
-        return self.next_index - self.match_index <= MAX_INFLIGHT_ENTRIES
+        has_place = self.next_index - self.match_index <= MAX_INFLIGHT_ENTRIES
+        return has_place and self.in_flight_bytes < MAX_INFLIGHT_BYTES
+
+    def note_sent(self, entries: list) -> None:
+        """Record that entries are on their way."""
+        size = sum(len(entry.command or b"") for entry in entries)
+        self.next_index += len(entries)
+        self.in_flight.append((self.next_index - 1, size))
+        self.in_flight_bytes += size
 
     def accept(self, match_index: int) -> bool:
         """Record a successful append; return whether the match advanced."""
         if match_index <= self.match_index:
             return False
         self.match_index = match_index
+        self._keep_in_flight([sent for sent in self.in_flight if sent[0] > match_index])
         self.next_index = max(self.next_index, match_index + 1)
         return True
 
@@ -37,11 +52,16 @@
         A hint ahead of `next_index` comes from a follower whose snapshot is
         newer than the entry offered: go forward to it.
         """
+        self._keep_in_flight([])
         if hint_index >= self.next_index:
             self.next_index = min(hint_index, last_index) + 1
             return
         self.next_index = max(self.match_index + 1, min(self.next_index - 1, hint_index + 1))
 
+    def _keep_in_flight(self, sent):
+        self.in_flight = sent
+        self.in_flight_bytes = sum(size for _, size in sent)
+
     def acknowledge(self, round_number: int, started_at: float) -> None:
         """Record that the peer answered a message of the round started at `started_at`."""
         if round_number > self.acked_round:
--- a/traystall/consensus/replica.py
+++ b/traystall/consensus/replica.py
@@ -13,6 +13,7 @@
 """
 
 from traystall.consensus.elections import Elections
+from traystall.consensus.entry_parts import EntryTransfer
 from traystall.consensus.log import ReplicaLog
 from traystall.consensus.models import (
     EntryKind,
@@ -33,6 +34,8 @@
 from traystall.rpc.gen.wire.ttypes import (
     AppendReply,
     AppendRequest,
+    EntryPart,
+    EntryPartReply,
     LogEntry,
     SnapshotChunk,
     SnapshotReply,
@@ -48,7 +51,7 @@
 _FIRST_HEARTBEATS = 1.5
 
 
-class Replica(Elections, Replication, SnapshotTransfer):
+class Replica(Elections, Replication, EntryTransfer, SnapshotTransfer):
     """Take part in one group under one identity."""
 
     def __init__(
@@ -89,7 +92,9 @@
         self._handover_to = ""
         self._handover_deadline = 0.0
         self._term_start_index = 0
+        # What is held of a snapshot and of a large entry that are on their way here.
         self._incoming: tuple[int, bytearray] | None = None
+        self._parts: tuple[tuple, bytearray] | None = None
         # A leader that lives is heard within some heartbeats; the pre-vote spares it if it is not.
         self._election_due = now + random.uniform(
             _FIRST_HEARTBEATS * timing.heartbeat, timing.election_min
@@ -326,6 +331,8 @@
             VoteReply: self._on_vote_reply,
             AppendRequest: self._on_append_request,
             AppendReply: self._on_append_reply,
+            EntryPart: self._on_entry_part,
+            EntryPartReply: self._on_entry_part_reply,
             SnapshotChunk: self._on_snapshot_chunk,
             SnapshotReply: self._on_snapshot_reply,
             TimeoutNow: self._on_timeout_now,
--- a/traystall/consensus/replication.py
+++ b/traystall/consensus/replication.py
@@ -3,6 +3,7 @@
 A part of `Replica`, which holds the state that these methods read and change.
 """
 
+from traystall.consensus.entry_parts import PART_BYTES, is_large
 from traystall.consensus.models import AppendLog, Role, TruncateLog
 from traystall.consensus.progress import Progress
 from traystall.consensus.quorum import reached_by_majority
@@ -10,7 +11,7 @@
 from traystall.rpc.gen.wire.ttypes import AppendReply, AppendRequest, LogEntry
 
 MAX_APPEND_ENTRIES = 512
-MAX_APPEND_BYTES = 1024 * 1024
+MAX_APPEND_BYTES = PART_BYTES
 
 
 class Replication:
@@ -48,11 +49,25 @@
         if progress.next_index <= self.log.snapshot_index:
             self._send_snapshot(peer, now)
             return
-        entries = []
-        if progress.may_send():
-            entries = self.log.slice(progress.next_index, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES)
-        if not entries and not heartbeat:
-            return
+        entries = self._next_entries(progress)
+        in_parts = bool(entries) and is_large(entries[0]) and progress.takes_parts is not False
+        if in_parts:
+            large, entries = entries[0], []
+        if entries or heartbeat:
+            self._send_entries(peer, entries)
+        if in_parts and progress.takes_parts:
+            self._send_part(peer, large, now)
+
+    def _next_entries(self, progress):
+        """Return what may be sent to a peer now: some small entries, or a large one by itself."""
+        if not progress.may_send():
+            return []
+        entries = self.log.slice(progress.next_index, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES)
+        large = next((place for place, entry in enumerate(entries) if is_large(entry)), None)
+        return entries if large is None else entries[: max(1, large)]
+
+    def _send_entries(self, peer, entries):
+        progress = self.progress[peer]
         prev_index = progress.next_index - 1
         request = AppendRequest(
             **self._envelope(peer),
@@ -62,7 +77,8 @@
             commit=self.commit_index,
             round=self._round,
         )
-        progress.next_index += len(entries)
+        if entries:
+            progress.note_sent(entries)
         self._ready.messages.append(request)
 
     def _on_append_request(self, request, now):
@@ -123,6 +139,7 @@
             match_index=match,
             hint_index=hint,
             round=request.round,
+            takes_parts=True,
         )
         self._ready.messages_after_sync.append(reply)
 
@@ -131,6 +148,8 @@
         if not self.is_leader or reply.term != self.term or progress is None:
             return
         self._acknowledge(progress, reply.round)
+        was_known = progress.takes_parts is not None
+        progress.takes_parts = bool(reply.takes_parts)
         if not reply.success:
             progress.reject(reply.hint_index, self.log.last_index)
             self._send_append(reply.sender, now, heartbeat=True)
@@ -138,6 +157,8 @@
         if progress.accept(reply.match_index):
             self._advance_commit()
             self._after_progress(reply.sender, now)
+        elif not was_known:
+            self._send_append(reply.sender, now)
 
     def _after_progress(self, peer, now):
         if not self.is_leader or peer not in self.progress:
@@ -169,3 +190,4 @@
     def _commit_to(self, index):
         if index > self.commit_index:
             self.commit_index = index
+            self._drop_parts(index)
--- a/traystall/consensus/snapshots.py
+++ b/traystall/consensus/snapshots.py
@@ -4,13 +4,11 @@
 """
 
 from traystall.consensus.models import SaveSnapshot, Snapshot, decode_members, encode_members
+from traystall.consensus.transfers import Transfer
 from traystall.rpc.gen.wire.ttypes import SnapshotChunk, SnapshotReply
 
 # Alone on 5 Mbit/s a chunk takes 0.1 s, of which only the first is sent again too early.
 SNAPSHOT_CHUNK_BYTES = 64 * 1024
-# The longest wait for the reply to a chunk, in seconds; after that it is sent again. Enough for
-# links of 0.5 Mbit/s; more would keep a replica waiting that comes back from a cut.
-_LONGEST_WAIT = 1.0
 
 
 class SnapshotTransfer:
@@ -19,32 +17,22 @@
     def _send_snapshot(self, peer, now):
         progress = self.progress[peer]
         snapshot = self.log.snapshot
-        if progress.snapshot_index != snapshot.index:
-            progress.snapshot_index = snapshot.index
-            progress.snapshot_offset = 0
-            progress.snapshot_wait = 2 * self.timing.heartbeat
-        elif now < progress.snapshot_sent_at + progress.snapshot_wait:
+        key = (snapshot.index, snapshot.term)
+        if progress.snapshot is None or progress.snapshot.key != key:
+            progress.snapshot = Transfer(key, wait=2 * self.timing.heartbeat)
+        if progress.snapshot.is_waiting(now):
             return
-        else:
-            # Sent again each heartbeat, a chunk that takes longer on its link fills it with copies:
-            # at 5 Mbit/s 1,237 chunks were sent for 40.
-            progress.snapshot_resent = True
-            progress.snapshot_wait = min(_LONGEST_WAIT, 2 * progress.snapshot_wait)
-        self._send_chunk(peer, now)
-
-    def _send_chunk(self, peer, now):
-        progress = self.progress[peer]
-        snapshot = self.log.snapshot
-        end = progress.snapshot_offset + SNAPSHOT_CHUNK_BYTES
-        progress.snapshot_sent_at = now
+        offset = progress.snapshot.offset
+        end = offset + SNAPSHOT_CHUNK_BYTES
+        progress.snapshot.note_sent(now)
         self._ready.messages.append(
             SnapshotChunk(
                 **self._envelope(peer),
                 index=snapshot.index,
                 index_term=snapshot.term,
                 members=encode_members(snapshot.members),
-                offset=progress.snapshot_offset,
-                data=snapshot.data[progress.snapshot_offset : end],
+                offset=offset,
+                data=snapshot.data[offset:end],
                 last=end >= len(snapshot.data),
                 round=self._round,
             )
@@ -110,17 +98,8 @@
             self._advance_commit()
             self._after_progress(reply.sender, now)
             return
-        current = reply.index == progress.snapshot_index == self.log.snapshot_index
-        # A reply that comes twice brings nothing new. Answered by a chunk each time, every resend
-        # started one more transfer: 356 chunks were sent for 40.
-        if current and reply.offset != progress.snapshot_offset:
-            progress.snapshot_offset = reply.offset
-            self._learn_wait(progress, now)
-            self._send_chunk(reply.sender, now)
-
-    def _learn_wait(self, progress, now):
-        """Wait twice as long as the last reply took, unless it may be one to an earlier sending."""
-        if not progress.snapshot_resent:
-            took = now - progress.snapshot_sent_at
-            progress.snapshot_wait = max(2 * self.timing.heartbeat, 2 * took)
-        progress.snapshot_resent = False
+        transfer = progress.snapshot
+        if transfer is None or not reply.index == transfer.key[0] == self.log.snapshot_index:
+            return
+        if transfer.note_held(reply.offset, 2 * self.timing.heartbeat, now):
+            self._send_snapshot(reply.sender, now)
--- a/traystall/rpc/gen/wire/ttypes.py
+++ b/traystall/rpc/gen/wire/ttypes.py
@@ -55,6 +55,8 @@
     PERMIT = 37
     PERMIT_RETURN = 38
     LIMIT_NEWS = 39
+    ENTRY_PART = 40
+    ENTRY_PART_REPLY = 41
 
     _VALUES_TO_NAMES = {
         1: "HELLO",
@@ -95,6 +97,8 @@
         37: "PERMIT",
         38: "PERMIT_RETURN",
         39: "LIMIT_NEWS",
+        40: "ENTRY_PART",
+        41: "ENTRY_PART_REPLY",
     }
 
     _NAMES_TO_VALUES = {
@@ -136,6 +140,8 @@
         "PERMIT": 37,
         "PERMIT_RETURN": 38,
         "LIMIT_NEWS": 39,
+        "ENTRY_PART": 40,
+        "ENTRY_PART_REPLY": 41,
     }
 
 
@@ -1147,6 +1153,7 @@
      - match_index
      - hint_index
      - round
+     - takes_parts
 
     """
 
@@ -1159,10 +1166,11 @@
         'match_index',
         'hint_index',
         'round',
+        'takes_parts',
     )
 
 
-    def __init__(self, group=None, to=None, sender=None, term=None, success=None, match_index=None, hint_index=None, round=None,):
+    def __init__(self, group=None, to=None, sender=None, term=None, success=None, match_index=None, hint_index=None, round=None, takes_parts=None,):
         self.group = group
         self.to = to
         self.sender = sender
@@ -1171,6 +1179,7 @@
         self.match_index = match_index
         self.hint_index = hint_index
         self.round = round
+        self.takes_parts = takes_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1221,6 +1230,11 @@
                     self.round = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.takes_parts = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1263,6 +1277,10 @@
             oprot.writeFieldBegin('round', TType.I64, 8)
             oprot.writeI64(self.round)
             oprot.writeFieldEnd()
+        if self.takes_parts is not None:
+            oprot.writeFieldBegin('takes_parts', TType.BOOL, 9)
+            oprot.writeBool(self.takes_parts)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1304,6 +1322,424 @@
         return not (self == other)
 
 
+class EntryPart(object):
+    """
+    Attributes:
+     - group
+     - to
+     - sender
+     - term
+     - prev_term
+     - index
+     - entry_term
+     - kind
+     - offset
+     - data
+     - size
+     - commit
+     - round
+     - sender_address
+
+    """
+
+    __slots__ = (
+        'group',
+        'to',
+        'sender',
+        'term',
+        'prev_term',
+        'index',
+        'entry_term',
+        'kind',
+        'offset',
+        'data',
+        'size',
+        'commit',
+        'round',
+        'sender_address',
+    )
+
+
+    def __init__(self, group=None, to=None, sender=None, term=None, prev_term=None, index=None, entry_term=None, kind=None, offset=None, data=None, size=None, commit=None, round=None, sender_address=None,):
+        self.group = group
+        self.to = to
+        self.sender = sender
+        self.term = term
+        self.prev_term = prev_term
+        self.index = index
+        self.entry_term = entry_term
+        self.kind = kind
+        self.offset = offset
+        self.data = data
+        self.size = size
+        self.commit = commit
+        self.round = round
+        self.sender_address = sender_address
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.to = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.prev_term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.entry_term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.kind = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.data = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.size = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.commit = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.round = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRING:
+                    self.sender_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EntryPart')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.to is not None:
+            oprot.writeFieldBegin('to', TType.STRING, 2)
+            oprot.writeString(self.to.encode('utf-8') if sys.version_info[0] == 2 else self.to)
+            oprot.writeFieldEnd()
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRING, 3)
+            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 4)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.prev_term is not None:
+            oprot.writeFieldBegin('prev_term', TType.I64, 5)
+            oprot.writeI64(self.prev_term)
+            oprot.writeFieldEnd()
+        if self.index is not None:
+            oprot.writeFieldBegin('index', TType.I64, 6)
+            oprot.writeI64(self.index)
+            oprot.writeFieldEnd()
+        if self.entry_term is not None:
+            oprot.writeFieldBegin('entry_term', TType.I64, 7)
+            oprot.writeI64(self.entry_term)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.I32, 8)
+            oprot.writeI32(self.kind)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 9)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.data is not None:
+            oprot.writeFieldBegin('data', TType.STRING, 10)
+            oprot.writeBinary(self.data)
+            oprot.writeFieldEnd()
+        if self.size is not None:
+            oprot.writeFieldBegin('size', TType.I64, 11)
+            oprot.writeI64(self.size)
+            oprot.writeFieldEnd()
+        if self.commit is not None:
+            oprot.writeFieldBegin('commit', TType.I64, 12)
+            oprot.writeI64(self.commit)
+            oprot.writeFieldEnd()
+        if self.round is not None:
+            oprot.writeFieldBegin('round', TType.I64, 13)
+            oprot.writeI64(self.round)
+            oprot.writeFieldEnd()
+        if self.sender_address is not None:
+            oprot.writeFieldBegin('sender_address', TType.STRING, 20)
+            oprot.writeString(self.sender_address.encode('utf-8') if sys.version_info[0] == 2 else self.sender_address)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
+        if self.to is None:
+            raise TProtocolException(message='Required field to is unset!')
+        if self.sender is None:
+            raise TProtocolException(message='Required field sender is unset!')
+        if self.term is None:
+            raise TProtocolException(message='Required field term is unset!')
+        if self.prev_term is None:
+            raise TProtocolException(message='Required field prev_term is unset!')
+        if self.index is None:
+            raise TProtocolException(message='Required field index is unset!')
+        if self.entry_term is None:
+            raise TProtocolException(message='Required field entry_term is unset!')
+        if self.kind is None:
+            raise TProtocolException(message='Required field kind is unset!')
+        if self.offset is None:
+            raise TProtocolException(message='Required field offset is unset!')
+        if self.data is None:
+            raise TProtocolException(message='Required field data is unset!')
+        if self.size is None:
+            raise TProtocolException(message='Required field size is unset!')
+        if self.commit is None:
+            raise TProtocolException(message='Required field commit is unset!')
+        if self.round is None:
+            raise TProtocolException(message='Required field round is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EntryPartReply(object):
+    """
+    Attributes:
+     - group
+     - to
+     - sender
+     - term
+     - index
+     - entry_term
+     - offset
+     - round
+
+    """
+
+    __slots__ = (
+        'group',
+        'to',
+        'sender',
+        'term',
+        'index',
+        'entry_term',
+        'offset',
+        'round',
+    )
+
+
+    def __init__(self, group=None, to=None, sender=None, term=None, index=None, entry_term=None, offset=None, round=None,):
+        self.group = group
+        self.to = to
+        self.sender = sender
+        self.term = term
+        self.index = index
+        self.entry_term = entry_term
+        self.offset = offset
+        self.round = round
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.to = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.entry_term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.round = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EntryPartReply')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.to is not None:
+            oprot.writeFieldBegin('to', TType.STRING, 2)
+            oprot.writeString(self.to.encode('utf-8') if sys.version_info[0] == 2 else self.to)
+            oprot.writeFieldEnd()
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRING, 3)
+            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 4)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.index is not None:
+            oprot.writeFieldBegin('index', TType.I64, 5)
+            oprot.writeI64(self.index)
+            oprot.writeFieldEnd()
+        if self.entry_term is not None:
+            oprot.writeFieldBegin('entry_term', TType.I64, 6)
+            oprot.writeI64(self.entry_term)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 7)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.round is not None:
+            oprot.writeFieldBegin('round', TType.I64, 8)
+            oprot.writeI64(self.round)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
+        if self.to is None:
+            raise TProtocolException(message='Required field to is unset!')
+        if self.sender is None:
+            raise TProtocolException(message='Required field sender is unset!')
+        if self.term is None:
+            raise TProtocolException(message='Required field term is unset!')
+        if self.index is None:
+            raise TProtocolException(message='Required field index is unset!')
+        if self.entry_term is None:
+            raise TProtocolException(message='Required field entry_term is unset!')
+        if self.offset is None:
+            raise TProtocolException(message='Required field offset is unset!')
+        if self.round is None:
+            raise TProtocolException(message='Required field round is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SnapshotChunk(object):
     """
     Attributes:
@@ -9616,6 +10052,43 @@
     (6, TType.I64, 'match_index', None, None, ),  # 6
     (7, TType.I64, 'hint_index', None, None, ),  # 7
     (8, TType.I64, 'round', None, None, ),  # 8
+    (9, TType.BOOL, 'takes_parts', None, None, ),  # 9
+)
+all_structs.append(EntryPart)
+EntryPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'to', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'sender', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'term', None, None, ),  # 4
+    (5, TType.I64, 'prev_term', None, None, ),  # 5
+    (6, TType.I64, 'index', None, None, ),  # 6
+    (7, TType.I64, 'entry_term', None, None, ),  # 7
+    (8, TType.I32, 'kind', None, None, ),  # 8
+    (9, TType.I64, 'offset', None, None, ),  # 9
+    (10, TType.STRING, 'data', 'BINARY', None, ),  # 10
+    (11, TType.I64, 'size', None, None, ),  # 11
+    (12, TType.I64, 'commit', None, None, ),  # 12
+    (13, TType.I64, 'round', None, None, ),  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.STRING, 'sender_address', 'UTF8', None, ),  # 20
+)
+all_structs.append(EntryPartReply)
+EntryPartReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'to', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'sender', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'term', None, None, ),  # 4
+    (5, TType.I64, 'index', None, None, ),  # 5
+    (6, TType.I64, 'entry_term', None, None, ),  # 6
+    (7, TType.I64, 'offset', None, None, ),  # 7
+    (8, TType.I64, 'round', None, None, ),  # 8
 )
 all_structs.append(SnapshotChunk)
 SnapshotChunk.thrift_spec = (
--- a/traystall/rpc/messages.py
+++ b/traystall/rpc/messages.py
@@ -56,6 +56,8 @@
     Method.PERMIT: ttypes.PermitRequest,
     Method.PERMIT_RETURN: ttypes.PermitReturn,
     Method.LIMIT_NEWS: ttypes.LimitNews,
+    Method.ENTRY_PART: ttypes.EntryPart,
+    Method.ENTRY_PART_REPLY: ttypes.EntryPartReply,
 }
 REPLY_TYPES = {
     Method.HELLO: ttypes.HelloReply,
@@ -91,6 +93,8 @@
     ttypes.VoteReply,
     ttypes.AppendRequest,
     ttypes.AppendReply,
+    ttypes.EntryPart,
+    ttypes.EntryPartReply,
     ttypes.SnapshotChunk,
     ttypes.SnapshotReply,
     ttypes.TimeoutNow,
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -43,6 +43,8 @@
   PERMIT = 37
   PERMIT_RETURN = 38
   LIMIT_NEWS = 39
+  ENTRY_PART = 40
+  ENTRY_PART_REPLY = 41
 }
 
 // One framed exchange. call_id 0 means that no reply is expected.
@@ -87,6 +89,22 @@
 struct AppendReply {
   1: required string group, 2: required string to, 3: required string sender, 4: required i64 term
   5: required bool success, 6: required i64 match_index, 7: required i64 hint_index, 8: required i64 round
+  // Whether the sender takes entries in parts: one that doesn't would end the link on which it gets one.
+  9: bool takes_parts
+}
+// A part of an entry that is too large for one message. The entry (index, entry_term) is the same
+// whichever leader sends it; put together, it is appended as by an AppendRequest with these fields.
+struct EntryPart {
+  1: required string group, 2: required string to, 3: required string sender, 4: required i64 term
+  5: required i64 prev_term, 6: required i64 index, 7: required i64 entry_term, 8: required i32 kind
+  9: required i64 offset, 10: required binary data, 11: required i64 size
+  12: required i64 commit, 13: required i64 round
+  20: string sender_address
+}
+// How many bytes of the entry are held.
+struct EntryPartReply {
+  1: required string group, 2: required string to, 3: required string sender, 4: required i64 term
+  5: required i64 index, 6: required i64 entry_term, 7: required i64 offset, 8: required i64 round
 }
 struct SnapshotChunk {
   1: required string group, 2: required string to, 3: required string sender, 4: required i64 term
