A watcher without its gateway is refused where that is needed, not by the message's type

Change: not required in the IDL; a control daemon, which lists the gateway, refuses a watch or transfer without one as bad-request. After: tests/gateway/test_directory.py, test_configuration_transfer.py and tests/control/test_malformed_messages.py passed, 38 cases. Conclusion: no test was changed.

--- a/traystall/control/subscribers.py
+++ b/traystall/control/subscribers.py
@@ -8,7 +8,7 @@
 from traystall.control.directory import DirectoryNews
 from traystall.control.node import Node
 from traystall.core import clock
-from traystall.core.exceptions import RpcError
+from traystall.core.exceptions import RpcError, RpcRefused
 from traystall.evacuations.held import to_wire
 from traystall.quarantine.wire import to_wire as to_suspects
 from traystall.rpc.client import LinkPool
@@ -52,6 +52,7 @@
 
     async def watch(self, request: WatchRequest) -> WatchReply:
         """Return what is new to a gateway, waiting a while if nothing is."""
+        _require_gateway(request)
         if request.gateway.state != OPERATOR_STATE:
             self._note(request.gateway, direct=True)
         now = clock.monotonic()
@@ -68,6 +69,7 @@
 
     async def transfer(self, request: TransferRequest) -> TransferReply:
         """Return a chunk of a configuration that was offered to a watcher."""
+        _require_gateway(request)
         self._note(request.gateway, direct=True)
         return self._copies.chunk(request)
 
@@ -167,3 +169,8 @@
         self.table.put(to_row(record, now - age, direct))
         if self.table.version != version:
             self._wake_gathered()
+
+
+def _require_gateway(request):
+    if request.gateway is None:
+        raise RpcRefused("bad-request", "A watcher must say which gateway it is.")
--- a/traystall/rpc/gen/wire/ttypes.py
+++ b/traystall/rpc/gen/wire/ttypes.py
@@ -3780,8 +3780,6 @@
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.gateway is None:
-            raise TProtocolException(message='Required field gateway is unset!')
         return
 
     def __repr__(self):
@@ -4390,8 +4388,6 @@
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.gateway is None:
-            raise TProtocolException(message='Required field gateway is unset!')
         if self.result is None:
             raise TProtocolException(message='Required field result is unset!')
         if self.digest is None:
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -159,7 +159,7 @@
 // What changed among the suspects since the version that the watcher knows, or all of them if full.
 struct Suspects { 1: i64 version, 2: bool full, 3: list<SuspectRecord> changed, 4: list<binary> removed }
 struct WatchRequest {
-  1: required GatewayRecord gateway, 2: binary digest, 3: i64 directory_version
+  1: GatewayRecord gateway, 2: binary digest, 3: i64 directory_version
   // The most bytes of changed entities that the reply may carry; more is offered. None: any.
   4: i64 inline_bytes
   // The version known of the directory and the life of the control daemon that told it. A daemon
@@ -190,7 +190,7 @@
 }
 // Ask for a part of what was offered. Who does not hold it makes it of base and result again.
 struct TransferRequest {
-  1: required GatewayRecord gateway, 2: binary base, 3: required binary result, 4: required binary digest
+  1: GatewayRecord gateway, 2: binary base, 3: required binary result, 4: required binary digest
   5: required i64 offset, 6: required i64 length
 }
 // Not known: another revision is in force there, or it packs otherwise.
