A bundle is sent to the leader and appended once, however long its link takes

What callers saw: a configuration of 600 KB given to a control daemon that doesn't lead, over 5 Mbit/s, was never confirmed; repeated at the leader while it was under way, it was appended once more each time.

Cause: a call to the leader had one second and the commit three, whatever the size; what was not confirmed in time was sent, and proposed, whole again behind its own copies.

Ruled out: a longer fixed time; it would hold small calls at a leader that is lost.

Reading the configuration back has the same fault and stays among the open findings.

--- a/tests/support/control_group.py
+++ b/tests/support/control_group.py
@@ -143,12 +143,12 @@
         """Send a configuration to one daemon; return its reply."""
         return await self.apply_entities(name, number, {"k": content})
 
-    async def apply_entities(self, name, number, entities):
+    async def apply_entities(self, name, number, entities, seconds=5.0):
         """Send a whole configuration to one daemon; return its reply."""
         request = ApplyRequest(
             number=number, digest=entities_digest(entities), entities=entities, operator="test"
         )
-        return await self.daemons[name].leader.call(request, 5.0)
+        return await self.daemons[name].leader.call(request, seconds)
 
     async def read(self, name):
         """Return number and content as one daemon tells them, or None if it can't be sure."""
--- a/traystall/control/service.py
+++ b/traystall/control/service.py
@@ -1,5 +1,6 @@
 """Answer the calls of gateways, peers and operators."""
 
+import asyncio
 import hmac
 import logging
 
@@ -18,6 +19,7 @@
 from traystall.quarantine.wire import to_details
 from traystall.rpc.gen.wire import ttypes
 from traystall.rpc.messages import PEER_MESSAGES
+from traystall.rpc.pacing import transfer_seconds
 from traystall.rpc.records import to_wire_member
 
 COMMIT_TIMEOUT = 3.0
@@ -46,6 +48,8 @@
         self._evacuations = evacuations
         self._operator_token = operator_token
         self._rule = rule
+        # Applies that wait for their commit, by term, number and digest.
+        self._applying: dict[tuple[int, int, bytes], asyncio.Task] = {}
         self._handlers = {
             ttypes.ProbeRequest: self._probe,
             ttypes.ApplyRequest: self._apply,
@@ -106,6 +110,23 @@
         self._require_operator(request.token)
         if entities_digest(request.entities or {}) != request.digest:
             raise RpcRefused("bad-digest", "The bundle does not have the digest it came with.")
+        self._require_lease()
+        # Operators repeat what is not confirmed in time. Proposed again, a large bundle would stand
+        # behind its own copies; after an election its fate may differ, so it is asked for anew.
+        key = (self._node.replica.term, request.number, request.digest)
+        under_way = self._applying.get(key)
+        if under_way is None:
+            under_way = asyncio.create_task(self._apply_until_decided(request))
+            self._applying[key] = under_way
+            under_way.add_done_callback(lambda task: self._forget_apply(key, task))
+        return await asyncio.shield(under_way)
+
+    def _forget_apply(self, key, task):
+        del self._applying[key]
+        if not task.cancelled() and task.exception() is not None:
+            logger.info("apply ended", extra={"number": key[1], "why": str(task.exception())})
+
+    async def _apply_until_decided(self, request):
         for _ in range(_MAX_REBASES):
             result = await self._apply_once(request)
             if result.outcome is not ApplyOutcome.REBASE:
@@ -136,7 +157,10 @@
             operator=request.operator,
             delta=make_delta(catalog.entities, request.entities or {}),
         )
-        return await self._node.propose(pack(command), COMMIT_TIMEOUT)
+        packed = pack(command)
+        # Two peers share the leader's link.
+        seconds = COMMIT_TIMEOUT + 2 * transfer_seconds(len(packed))
+        return await self._node.propose(packed, seconds)
 
     async def _read(self, request):
         """Return the newest revision, or refuse: another leader may know a newer one."""
