What a registry's word began ends with its gateway

What callers saw: nothing; a gateway that restarts competes with the one before it for a narrow link, and is ready later.

Cause: PassGateway.stop cancelled its loops, not the fetches that a registry's word begins. They wait for the transfer that runs, and open the link again once that is cancelled.

Ruled out: links that refuse to open after close; other parts of a daemon close theirs in another order.

Change: the fetches are cancelled first.

--- a/tests/gateway/test_configuration_transfer.py
+++ b/tests/gateway/test_configuration_transfer.py
@@ -270,6 +270,28 @@
     play(tmp_path, story)
 
 
+def test_transfer_that_a_registry_told_of_ends_with_its_gateway(tmp_path):
+    """Left running, it opens its link again and takes the width that others need."""
+
+    async def story(site):
+        transfer = await change_running_gateway(site)
+        await transfer.until_part()
+        gateway = site.gateways.pop()
+        for address in site.group.addresses.values():
+            gateway._fetch_configuration(2, address)
+        # Until the offers have come, behind which these wait for the transfer that runs.
+        lock = gateway.gateway_context.follower._fetcher._lock
+        await site.group.until(lambda: len(lock._waiters or ()) >= 2)
+        await gateway.stop()
+        # What was on its way when the links were closed.
+        await asyncio.sleep(0.2)
+        before = site.link.delivered.total()
+        await asyncio.sleep(1.0)
+        assert site.link.delivered.total() == before
+
+    play(tmp_path, story)
+
+
 async def answer_to(site, path):
     """Return status, body and Retry-After of a request at the gateway that started last."""
     address = site.gateways[-1].settings.listen
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -136,6 +136,9 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Close every connection."""
         self._background.stop()
+        # A transfer that a registry's word began would open its link anew and go on.
+        for task in self._fetches:
+            task.cancel()
         self.gateway_context.batcher.close()
         self.gateway_context.placing.close()
         self.gateway_context.permits.close()
