The stand-in for a link raises what a link raises; a site whose gateway has ended says so

Cause: a watch that timed out raised TimeoutError out of the test's stand-in, where a link raises RpcTimeout. It ended the follower of that gateway, nobody read the error, and the site waited for it until its own time was over.

Change: test support only. A site fails at once with what ended a gateway: stricter than before.

--- a/tests/support/directory_site.py
+++ b/tests/support/directory_site.py
@@ -13,6 +13,7 @@
 from traystall.catalog.deltas import EMPTY_DIGEST, Delta
 from traystall.control.subscribers import Subscribers
 from traystall.core import clock
+from traystall.core.exceptions import RpcTimeout
 from traystall.evacuations.models import EvacuatedPlaces
 from traystall.gateway.configuration import ConfigurationFollower
 from traystall.quarantine.state import SuspectTable
@@ -92,6 +93,11 @@
         with contextlib.suppress(asyncio.CancelledError):
             await self._task
 
+    def raise_failure(self) -> None:
+        """Raise what ended this life by itself, if anything did."""
+        if self._task.done() and not self._task.cancelled():
+            self._task.result()
+
     async def restart(self, drain_seconds: float) -> None:
         """Drain, end, and begin again."""
         self.state = "draining"
@@ -101,8 +107,12 @@
 
     async def call(self, request: WatchRequest, timeout: float) -> WatchReply:
         """Watch the control daemon as over a link; count what comes back, in bytes."""
-        async with asyncio.timeout(timeout):
-            reply = await self._site.subscribers.watch(decode(WatchRequest, encode(request)))
+        try:
+            async with asyncio.timeout(timeout):
+                reply = await self._site.subscribers.watch(decode(WatchRequest, encode(request)))
+        except TimeoutError as error:
+            # As a link does: any other error would end the follower.
+            raise RpcTimeout(f"No reply within {timeout:.2f} s.") from error
         began = time.perf_counter()
         body = encode(reply)
         self._site.control_seconds += time.perf_counter() - began
@@ -138,10 +148,15 @@
         self.gateways = [SiteGateway(self, number) for number in range(count)]
 
     async def settle(self, seconds: float) -> None:
-        """Wait until every gateway lists all; raise TimeoutError if that takes longer."""
+        """Wait until every gateway lists all; raise TimeoutError if that takes longer.
+
+        Raise at once what ended a gateway: such a one is not slow.
+        """
         wanted = {gateway.identity for gateway in self.gateways}
         async with asyncio.timeout(seconds):
             while any(listed(gateway) != wanted for gateway in self.gateways):
+                for gateway in self.gateways:
+                    gateway.raise_failure()
                 await asyncio.sleep(0.05)
 
     async def restart_in_turn(self, count: int, every: float, drain_seconds: float) -> None:
