Failing tests: gateways cut off from all targets, and a batching owner cut off from the workers

The logs show both causes: the cut gateways try one target after the other and refuse (not-served), and the batching owner is among the cut ones, admits nothing (149 not-admitted in 9 s) and stays the owner, so that all nine gateways refuse (busy).

The four cases in which old connections live on pass.

--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -9,6 +9,7 @@
 
 from tests.support.control_group import ControlGroup
 from tests.support.emulator.runner import Runner
+from tests.support.partition import Partition, run_as
 from tests.support.pass_gateway import start_pass_gateway
 from traystall.core.ids import new_id
 from traystall.core.serialization import pack
@@ -67,11 +68,13 @@
         await asyncio.gather(*(self.group.start(name, founding=True) for name in "abc"))
         await self.group.until(lambda: self.group.live_voters() == {"a", "b", "c"})
         self.session = aiohttp.ClientSession()
+        self.partition = Partition()
         for number in range(self._gateway_count):
             await self.start_gateway(number)
 
     async def start_gateway(self, number):
-        gateway = await start_pass_gateway(f"gateway-{number}", self.group.addresses.values())
+        name = f"gateway-{number}"
+        gateway = await run_as(name, start_pass_gateway(name, self.group.addresses.values()))
         self.gateways.append(gateway)
 
     async def add(self, pool, **options):
