Gateways reach targets through other gateways where their own path is broken

Cause: each gateway had a single path to each target. It could not tell a broken path from a dead target, and every task that needs targets (attempts, calls of workers, reports, frees) ended at the same wall.

Change: a direct connection that fails, or is not open within 0.1 s, competes with a tunnel through another gateway; whichever opens first is used. Only the connection differs: admission, stages, placing, attempts, limits, quarantine and the batching owner stay where they are and apply once. The other gateway connects directly, never through a third one, and only in the data centre of either end, where the request may be already. It reads the heads of responses, because the target takes it for its peer: leaving targets and targets at rest get nothing new through it. The broken path is tried again about once a second, by one connection. A failed tunnel to a target counts for a second, so that a pool that is down for all sends nothing in circles.

Evidence: the failing tests (8 of 12 cases red before) pass, 12 of 12.

Weighed: passing whole requests on (the batching owner would need a fix of its own; limits and retries would apply twice), moving ownership (a task per kind of owner, and it moves twice a cut).

--- a/tests/cli/test_reference.py
+++ b/tests/cli/test_reference.py
@@ -87,6 +87,7 @@
     "stages/room",
     "stages/worker_rates",
     "stages/workers",
+    "tunnels/paths",
 ]
 IO_MODULES = ("asyncio", "socket", "httptools", "logging", "random", "time", "traystall.core")
 
--- a/traystall/core/metrics.py
+++ b/traystall/core/metrics.py
@@ -46,6 +46,9 @@
 sent_in_rest_total = Counter(
     "traystall_sent_in_rest_total", "Requests and calls sent to targets at rest; it should stay 0."
 )
+tunnels_total = Counter(
+    "traystall_tunnels_total", "Connections to targets opened through another gateway, by pool."
+)
 limited_targets = Gauge(
     "traystall_limited_targets", "Targets that name a limit for all gateways together."
 )
--- a/traystall/passthrough/context.py
+++ b/traystall/passthrough/context.py
@@ -22,6 +22,7 @@
 from traystall.passthrough.health.notices import TargetNoticeMonitor
 from traystall.passthrough.ownership.owners import OwnerSelector, batching_key
 from traystall.passthrough.stages.cells import Cells, batching_cells
+from traystall.passthrough.tunnels.dialer import TargetDialer
 from traystall.permits.lenders import SETTLE_SECONDS, LenderRanking
 from traystall.permits.permits import Permits
 from traystall.quarantine.guard import RequestGuard
@@ -64,7 +65,10 @@
         self.places = DataCentreMonitor(data_centre)
         lender_ranking = LenderRanking(identity, lender_settle_seconds)
         self.permits = Permits(identity, self.directory, self.random, lender_ranking)
-        self.board = TargetBoard(self.random, self.max_connections, self.places, self.permits)
+        self.dialer = TargetDialer(self)
+        self.board = TargetBoard(
+            self.random, self.max_connections, self.places, self.permits, self.dialer.dial
+        )
         self.notices = TargetNoticeMonitor(names, self.board.reindex)
         self.board.on_send = self.notices.on_request_sent
         self.board.on_head = self.notices.on_response_head
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -26,6 +26,7 @@
 from traystall.passthrough.placement.service import PlacementService
 from traystall.passthrough.settings import SETTINGS, check_gateway
 from traystall.passthrough.stages.batcher import Batcher
+from traystall.passthrough.tunnels.service import TunnelService
 from traystall.permits.broadcast import LimitBroadcaster
 from traystall.quarantine.digests import make_key
 from traystall.quarantine.guard import RequestGuard
@@ -76,9 +77,8 @@
     async def start(self) -> None:
         """Start to listen, and follow the configuration in the background."""
         settings = self.settings
-        self._links = LinkPool(
-            LinkIdentity(settings.cluster, ROLE, self._identity, settings.secret)
-        )
+        link_identity = LinkIdentity(settings.cluster, ROLE, self._identity, settings.secret)
+        self._links = LinkPool(link_identity)
         rule = RepeatBudgetRule(
             settings.repeat_ratio, settings.repeat_window, settings.repeat_slack
         )
@@ -95,11 +95,17 @@
         self.gateway_context.guard = RequestGuard(key, leader)
         self._follow()
         self.gateway_context.permits.links = self._links
+        self.gateway_context.dialer.link_identity = link_identity
+        self._tunnels = TunnelService(self.gateway_context)
         self.gateway_context.batcher = Batcher(self.gateway_context, self._links)
         self.gateway_context.placement_service = PlacementService(self.gateway_context, self._links)
         self.gateway_context.board.on_change.append(self.gateway_context.batcher.dispatch)
         self._server = RpcServer(
-            settings.rpc_listen, settings.cluster, settings.secret, self._answer_peer
+            settings.rpc_listen,
+            settings.cluster,
+            settings.secret,
+            self._answer_peer,
+            self._tunnels.open,
         )
         await self._server.start()
         # Connections are accepted at once: requests wait a moment for the first configuration.
@@ -131,13 +137,15 @@
         self._state = "draining"
         self.gateway_context.permits.may_grant = False
         drain = Drain(self._front, self._callers)
-        await drain.run(self.settings.drain_notice, self.settings.drain_limit)
+        notice, limit = self.settings.drain_notice, self.settings.drain_limit
+        await asyncio.gather(drain.run(notice, limit), self._tunnels.drain(notice + limit))
         await self.gateway_context.batcher.drain(_BATCHER_DRAIN_SECONDS)
         logger.info("drained", extra={"in_flight": self._front.in_flight})
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close every connection."""
         self._background.stop()
+        self._tunnels.close()
         # A transfer left running would reopen its link and continue.
         for task in self._fetches:
             task.cancel()
@@ -265,6 +273,7 @@
         while True:
             await asyncio.sleep(_DISPATCH_SECONDS)
             self.gateway_context.batcher.dispatch()
+            self._tunnels.close_unwanted()
             self.gateway_context.notices.review(self.gateway_context.board.views())
 
     async def _reload_forever(self):
--- a/traystall/passthrough/exchange/connection.py
+++ b/traystall/passthrough/exchange/connection.py
@@ -18,6 +18,7 @@
 
 # Reading from the socket pauses while more bytes than this are buffered and not yet consumed.
 _HIGH_WATER_BYTES = 256 * 1024
+CONNECT_TIMEOUT_SECONDS = 0.25
 _KEEP_ALIVE_TIMEOUT_PREFIX = "timeout="
 _BODILESS_STATUSES = (204, 304)
 
@@ -91,10 +92,14 @@
 
 
 class TargetConnection(asyncio.Protocol):
-    """Exchange requests and responses with one target, one at a time."""
+    """Exchange requests and responses with one target, one at a time.
 
-    def __init__(self, observer: ConnectionObserver = _NO_OBSERVER):
+    `via` is the identity of the gateway that tunnels the connection, or empty for a direct one.
+    """
+
+    def __init__(self, observer: ConnectionObserver = _NO_OBSERVER, via: str = ""):
         self._observer = observer
+        self.via = via
         self.transport: asyncio.Transport | None = None
         self.is_closed = False
         self.is_idle = False
--- a/traystall/passthrough/exchange/pool.py
+++ b/traystall/passthrough/exchange/pool.py
@@ -1,36 +1,31 @@
 """Connection pool for one target, limited to this gateway's share of its connections."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from traystall.core import clock
 from traystall.passthrough.exceptions import ConnectFailed
-from traystall.passthrough.exchange.connection import (
-    ConnectionObserver,
-    ResponseHead,
-    TargetConnection,
-    connect,
-)
+from traystall.passthrough.exchange.connection import ResponseHead, TargetConnection
 
 # An idle connection is dropped this long before the idle timeout of the target, so that the target
 # does not close it while a request is on its way.
 _IDLE_MARGIN_SECONDS = 0.6
 _DEFAULT_IDLE_SECONDS = 4.0
-CONNECT_TIMEOUT_SECONDS = 0.25
 
 
 class ConnectionPool:
     """Pool keep-alive connections to one target.
 
-    `limit` returns how many connections may be open at once. `observer` observes their traffic.
+    `limit` returns how many connections may be open at once. `dial` opens a connection or raises
+    ConnectFailed.
     """
 
     def __init__(
         self,
         address: str,
         limit: Callable[[], int],
-        observer: ConnectionObserver = ConnectionObserver(),  # noqa: B008 - it is frozen.
+        dial: Callable[[], Awaitable[TargetConnection]],
     ):
-        self._observer = observer
+        self._dial = dial
         self._address = address
         self._limit = limit
         self._idle: list[TargetConnection] = []
@@ -50,7 +45,7 @@
             raise ConnectFailed(f"All connections to {self._address} are in use.")
         self._open += 1
         try:
-            return await connect(self._address, CONNECT_TIMEOUT_SECONDS, self._observer)
+            return await self._dial()
         except BaseException:
             self._open -= 1
             raise
@@ -78,10 +73,13 @@
         self._open -= 1
         connection.close()
 
-    def close_idle(self) -> None:
-        """Close the idle connections; those in use stay open."""
-        while self._idle:
-            self.discard(self._idle.pop())
+    def close_idle(
+        self, doubted: Callable[[TargetConnection], bool] = lambda connection: True
+    ) -> None:
+        """Close the idle connections that are `doubted`; those in use stay open."""
+        for connection in [connection for connection in self._idle if doubted(connection)]:
+            self._idle.remove(connection)
+            self.discard(connection)
 
     def close(self) -> None:
         """Close the pool."""
--- a/traystall/passthrough/health/board.py
+++ b/traystall/passthrough/health/board.py
@@ -5,15 +5,17 @@
 """
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
 from traystall.passthrough.exceptions import ExchangeError
 from traystall.passthrough.exchange.connection import (
+    CONNECT_TIMEOUT_SECONDS,
     ConnectionObserver,
     ResponseHead,
     TargetConnection,
+    connect,
 )
 from traystall.passthrough.exchange.pool import ConnectionPool
 from traystall.passthrough.health.data_centre_monitor import DataCentreMonitor
@@ -129,18 +131,41 @@
         self.avoid_count += 1
         self.avoid_until = max(self.avoid_until, now + seconds * random.uniform(0.75, 1.25))
 
+    def on_other_path(self) -> None:
+        """Forget failures of a path to the target, since another path to it works."""
+        self.failures = 0
+        self.avoid_count = 0
+        self.avoid_until = float("-inf")
+
     def on_unreachable(self, now: float, random) -> None:
         """Avoid the target immediately, because no connection could be established."""
         self.failures = max(self.failures, FAILURES_TO_AVOID - 1)
         self.on_failure(now, random)
 
 
+Dial = Callable[[TargetReport, ConnectionObserver], Awaitable[TargetConnection]]
+
+
+async def dial_directly(report: TargetReport, observer: ConnectionObserver) -> TargetConnection:
+    """Return a new connection to the address of a target; raise ConnectFailed."""
+    return await connect(report.address, CONNECT_TIMEOUT_SECONDS, observer)
+
+
 class TargetBoard:
-    """Hold the targets of all pools, as the registry reports them."""
+    """Hold the targets of all pools, as the registry reports them.
+
+    `dial` opens connections to them.
+    """
 
     def __init__(
-        self, random, max_connections, places: DataCentreMonitor, permits: Permits | None = None
+        self,
+        random,
+        max_connections,
+        places: DataCentreMonitor,
+        permits: Permits | None = None,
+        dial: Dial = dial_directly,
     ):
+        self._dial = dial
         self.registry = Registry()
         self.places = places
         self._permits = permits
@@ -191,13 +216,14 @@
         self._index()
 
     def _make_view(self, row, availability, limit) -> TargetView:
-        max_connections = self._max_connections
+        max_connections, dial = self._max_connections, self._dial
         observer = ConnectionObserver(
             lambda connection: self.on_send(view, connection),
             lambda connection, head: self.on_head(view, connection, head),
         )
+        report = row.report
         pool = ConnectionPool(
-            row.report.address, lambda: max_connections(row.report.pool), observer
+            report.address, lambda: max_connections(report.pool), lambda: dial(report, observer)
         )
         view = TargetView(row.report, pool, cold_until=row.cold_until, availability=availability)
         if self._permits is not None:
--- /dev/null
+++ b/traystall/passthrough/tunnels/service.py
@@ -0,0 +1,217 @@
+"""Serve tunnels: connect other gateways, whose path is broken, to targets that this one reaches.
+
+The target sees this gateway as its peer, so what it asks of a peer holds for tunnels too: a target
+that is leaving or in a backoff period gets no new request through them.
+"""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import httptools
+
+from traystall.core import clock
+from traystall.core.exceptions import RpcRefused
+from traystall.core.sockets import enable_dead_peer_detection
+from traystall.passthrough.exchange.connection import (
+    CONNECT_TIMEOUT_SECONDS,
+    ResponseHead,
+    SentRequest,
+)
+from traystall.passthrough.ownership.owners import LEAVING
+
+# Error codes of refused tunnels.
+NO_PATH = "no-path"
+TARGET_UNAVAILABLE = "target-unavailable"
+TUNNELS_FULL = "tunnels-full"
+# Each tunnel takes two of the process's file descriptors and two buffers.
+MAX_TUNNELS = 512
+_CHUNK_BYTES = 64 * 1024
+_DRAIN_POLL_SECONDS = 0.02
+# Closing a socket with this option resets the connection instead of ending it in order.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class TunnelService:
+    """Open tunnels for other gateways, and close them when this gateway stops."""
+
+    def __init__(self, context):
+        self._context = context
+        self._tunnels: set[Tunnel] = set()
+        self._is_draining = False
+
+    async def open(self, request) -> "Tunnel":
+        """Return a tunnel to the requested target; raise RpcRefused."""
+        if self._is_draining:
+            raise RpcRefused(LEAVING, "This gateway is about to stop.")
+        if len(self._tunnels) >= MAX_TUNNELS:
+            raise RpcRefused(TUNNELS_FULL, f"{MAX_TUNNELS} tunnels are open.")
+        view = self._context.board.view(request.target)
+        if view is None or view.report.address != request.address:
+            raise RpcRefused(TARGET_UNAVAILABLE, f"{request.target} is not known here.")
+        if not _accepts_work(view):
+            raise RpcRefused(TARGET_UNAVAILABLE, f"{request.target} takes no new requests.")
+        # A gateway whose own path is broken must not look for a third one: requests would circle.
+        if self._context.dialer.paths.is_broken(request.target):
+            raise RpcRefused(NO_PATH, f"{request.target} is not reachable from here.")
+        host, _, port = request.address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError, ValueError) as error:
+            raise RpcRefused(NO_PATH, f"{request.target} is not reachable: {error}.") from error
+        enable_dead_peer_detection(writer.transport)
+        tunnel = Tunnel(self._context, view, reader, writer, self._tunnels)
+        self._tunnels.add(tunnel)
+        return tunnel
+
+    def close_unwanted(self) -> None:
+        """Close the idle tunnels to targets that accept no new requests."""
+        for tunnel in list(self._tunnels):
+            if tunnel.is_idle and (self._is_draining or not _accepts_work(tunnel.view)):
+                tunnel.close()
+
+    async def drain(self, seconds: float) -> None:
+        """Open no more tunnels; return when all have closed, or after `seconds`."""
+        self._is_draining = True
+        deadline = clock.monotonic() + seconds
+        while self._tunnels and clock.monotonic() < deadline:
+            self.close_unwanted()
+            await asyncio.sleep(_DRAIN_POLL_SECONDS)
+
+    def close(self) -> None:
+        """Reset every tunnel, so that a response that is cut off does not look complete."""
+        for tunnel in list(self._tunnels):
+            tunnel.reset()
+
+
+class Tunnel:
+    """Forward bytes between one gateway and one target, and read the heads of the responses.
+
+    The target's notices concern this gateway too, because the target knows no other peer.
+    """
+
+    def __init__(self, context, view, reader, writer, tunnels: set["Tunnel"]):
+        self.view = view
+        self.is_closed = False
+        # Whether the last request has its complete response.
+        self.is_idle = True
+        # What the board and the notices ask of a connection to a target.
+        self.sent_request = SentRequest(is_work=False, is_covered=True)
+        self._context = context
+        self._reader = reader
+        self._writer = writer
+        self._tunnels = tunnels
+        self._gateway_writer: asyncio.StreamWriter | None = None
+        self._has_head = True
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._parser: httptools.HttpResponseParser | None = None
+
+    async def forward(
+        self, gateway_reader: asyncio.StreamReader, gateway_writer: asyncio.StreamWriter
+    ) -> None:
+        """Forward in both directions until one side closes."""
+        self._gateway_writer = gateway_writer
+        requests = asyncio.create_task(self._forward_requests(gateway_reader))
+        responses = asyncio.create_task(self._forward_responses())
+        try:
+            await asyncio.wait({requests, responses}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in (requests, responses):
+                task.cancel()
+            await asyncio.gather(requests, responses, return_exceptions=True)
+
+    def close(self) -> None:
+        """Close both connections; the target stops work that is in progress."""
+        if self.is_closed:
+            return
+        self.is_closed = True
+        self._tunnels.discard(self)
+        self._writer.transport.abort()
+        if self._gateway_writer is not None:
+            self._gateway_writer.close()
+
+    def reset(self) -> None:
+        """Close both connections, the gateway's with a reset."""
+        if not self.is_closed and self._gateway_writer is not None:
+            transport = self._gateway_writer.transport
+            sock = transport.get_extra_info("socket")
+            # The option fails only on a socket that is closed already.
+            with contextlib.suppress(OSError, AttributeError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            transport.abort()
+        self.close()
+
+    async def _forward_requests(self, reader):
+        try:
+            while data := await reader.read(_CHUNK_BYTES):
+                if self._has_head and not self._start_request():
+                    return
+                self._writer.write(data)
+                await self._writer.drain()
+        except OSError:
+            return  # The gateway has reset the tunnel; closing it stops the target's work.
+
+    def _start_request(self) -> bool:
+        """Prepare for the response to a request that begins; refuse it if it may not be sent."""
+        if not _accepts_work(self.view):
+            self._gateway_writer.write(self._refusal())
+            return False
+        self._has_head = False
+        self.is_idle = False
+        self.sent_request = SentRequest(clock.monotonic(), None, False, True)
+        self._parser = httptools.HttpResponseParser(self)
+        return True
+
+    def _refusal(self) -> bytes:
+        """Return a response to a request of which the target has got nothing."""
+        mark = f"{self._context.names.not_run}: 1"
+        return f"HTTP/1.1 503 Unavailable\r\n{mark}\r\nContent-Length: 0\r\n\r\n".encode()
+
+    async def _forward_responses(self):
+        try:
+            while data := await self._reader.read(_CHUNK_BYTES):
+                self._parse(data)
+                self._gateway_writer.write(data)
+                await self._gateway_writer.drain()
+        except OSError:
+            # Ended in order, a response without a length would look complete.
+            self.reset()
+
+    def _parse(self, data):
+        if self._parser is None:
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            # The gateway at the other end judges the bytes; here only notices are read.
+            self._parser = None
+
+    # ---- httptools callbacks ----
+
+    def on_message_begin(self):
+        """Reset the header list for a new response."""
+        self._headers = []
+
+    def on_header(self, name, value):
+        """Collect a header."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self):
+        """Process the notices in a response head; interim responses (1xx) are skipped."""
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        self._has_head = True
+        head = ResponseHead(status, self._headers)
+        self._context.notices.on_response_head(self.view, self, head)
+
+    def on_message_complete(self):
+        """Record the end of a response."""
+        self.is_idle = self._has_head
+
+
+def _accepts_work(view) -> bool:
+    availability = view.availability
+    return view.is_ready and not availability.is_backing_off(clock.monotonic())
--- a/traystall/rpc/framing.py
+++ b/traystall/rpc/framing.py
@@ -47,6 +47,17 @@
     return frame, size
 
 
+def split_frame(data: bytes) -> tuple[Frame, bytes] | None:
+    """Return the first frame in `data` and the bytes after it, or None if it is incomplete."""
+    length = int.from_bytes(data[:_LENGTH_BYTES], "big")
+    if length > MAX_FRAME_BYTES:
+        raise RpcError(f"A frame of {length} bytes is over the limit of {MAX_FRAME_BYTES}.")
+    end = _LENGTH_BYTES + length
+    if len(data) < max(end, _LENGTH_BYTES):
+        return None
+    return decode(Frame, data[_LENGTH_BYTES:end]), data[end:]
+
+
 def make_hello(cluster: str, role: str, sender: str, secret: str) -> Hello:
     """Return the `Hello` of a link, signed if a shared secret is set."""
     hello = Hello(
--- a/traystall/rpc/gen/wire/ttypes.py
+++ b/traystall/rpc/gen/wire/ttypes.py
@@ -57,6 +57,7 @@
     LIMIT_NEWS = 39
     ENTRY_PART = 40
     ENTRY_PART_REPLY = 41
+    TUNNEL = 42
 
     _VALUES_TO_NAMES = {
         1: "HELLO",
@@ -99,6 +100,7 @@
         39: "LIMIT_NEWS",
         40: "ENTRY_PART",
         41: "ENTRY_PART_REPLY",
+        42: "TUNNEL",
     }
 
     _NAMES_TO_VALUES = {
@@ -142,6 +144,7 @@
         "LIMIT_NEWS": 39,
         "ENTRY_PART": 40,
         "ENTRY_PART_REPLY": 41,
+        "TUNNEL": 42,
     }
 
 
@@ -8973,6 +8976,158 @@
         return not (self == other)
 
 
+class TunnelRequest(object):
+    """
+    Attributes:
+     - target
+     - address
+
+    """
+
+    __slots__ = (
+        'target',
+        'address',
+    )
+
+
+    def __init__(self, target=None, address=None,):
+        self.target = target
+        self.address = address
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TunnelRequest')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.target is None:
+            raise TProtocolException(message='Required field target is unset!')
+        if self.address is None:
+            raise TProtocolException(message='Required field address is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TunnelReply(object):
+    """
+    Attributes:
+     - identity
+
+    """
+
+    __slots__ = (
+        'identity',
+    )
+
+
+    def __init__(self, identity=None,):
+        self.identity = identity
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TunnelReply')
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 1)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PingRequest(object):
     """
     Attributes:
@@ -10633,6 +10788,17 @@
     (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'what', 'UTF8', None, ),  # 3
 )
+all_structs.append(TunnelRequest)
+TunnelRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+)
+all_structs.append(TunnelReply)
+TunnelReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'identity', 'UTF8', None, ),  # 1
+)
 all_structs.append(PingRequest)
 PingRequest.thrift_spec = (
     None,  # 0
--- a/traystall/rpc/messages.py
+++ b/traystall/rpc/messages.py
@@ -58,6 +58,7 @@
     Method.LIMIT_NEWS: ttypes.LimitNews,
     Method.ENTRY_PART: ttypes.EntryPart,
     Method.ENTRY_PART_REPLY: ttypes.EntryPartReply,
+    Method.TUNNEL: ttypes.TunnelRequest,
 }
 REPLY_TYPES = {
     Method.HELLO: ttypes.HelloReply,
@@ -86,6 +87,7 @@
     Method.TRIAL: ttypes.TrialReply,
     Method.LIFT: ttypes.LiftReply,
     Method.PERMIT: ttypes.PermitReply,
+    Method.TUNNEL: ttypes.TunnelReply,
 }
 # One-way messages between replicas of the log.
 PEER_MESSAGES = (
--- a/traystall/rpc/server.py
+++ b/traystall/rpc/server.py
@@ -8,7 +8,7 @@
 from traystall.core.sockets import enable_dead_peer_detection
 from traystall.rpc import traffic
 from traystall.rpc.framing import read_frame, refusal_reason, write_frame
-from traystall.rpc.gen.wire.ttypes import Frame, Hello, Method
+from traystall.rpc.gen.wire.ttypes import Frame, Hello, Method, TunnelReply
 from traystall.rpc.messages import REQUEST_TYPES, decode, encode
 
 _HELLO_TIMEOUT_SECONDS = 5.0
@@ -18,14 +18,22 @@
 logger = logging.getLogger(__name__)
 
 
+async def _refuse_tunnel(request):
+    raise RpcRefused("bad-method", "This process opens no tunnels.")
+
+
 class RpcServer:
-    """Serve framed calls; `handler(request)` returns a reply message or raises RpcRefused."""
+    """Serve framed calls; `handler(request)` returns a reply message or raises RpcRefused.
+
+    `open_tunnel(request)` returns a `Tunnel` or raises RpcRefused. Without it, tunnels are refused.
+    """
 
-    def __init__(self, address: str, cluster: str, secret: str, handler):
+    def __init__(self, address: str, cluster: str, secret: str, handler, open_tunnel=None):
         self._address = address
         self._cluster = cluster
         self._secret = secret
         self._handler = handler
+        self._open_tunnel = open_tunnel or _refuse_tunnel
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -88,6 +96,9 @@
             except RpcError as error:
                 await self._refuse(writer, frame, error)
                 continue
+            if frame.method == Method.TUNNEL:
+                await self._serve_tunnel(reader, writer, frame, request)
+                return
             if frame.call_id == 0:
                 await self._handle_one_way(request)
                 continue
@@ -95,6 +106,22 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    async def _serve_tunnel(self, reader, writer, frame, request):
+        """Turn the connection into a tunnel; it carries no frames any more after the reply."""
+        reply = Frame(call_id=frame.call_id, method=frame.method, reply=True)
+        try:
+            tunnel = await self._open_tunnel(request)
+        except RpcRefused as error:
+            reply.error, reply.detail = error.code, error.detail
+            await self._write(writer, reply)
+            return
+        try:
+            reply.body = encode(TunnelReply(identity=request.target))
+            await self._write(writer, reply)
+            await tunnel.forward(reader, writer)
+        finally:
+            tunnel.close()
+
     async def _refuse(self, writer, frame, error):
         """Refuse one message that can't be decoded; the link stays open for other messages."""
         logger.warning("message refused", extra={"method": frame.method, "why": str(error)})
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -45,6 +45,7 @@
   LIMIT_NEWS = 39
   ENTRY_PART = 40
   ENTRY_PART_REPLY = 41
+  TUNNEL = 42
 }
 
 // One framed exchange. call_id 0 means that no reply is expected.
@@ -320,6 +321,10 @@
 }
 struct PlaceReply { 1: string identity }
 struct PlaceNote { 1: required string pool, 2: required string request_id, 3: required string what }
+// Asks a gateway to connect to a target it knows under this identity and address. After a reply without
+// an error the connection carries the bytes exchanged with the target, and no frames any more.
+struct TunnelRequest { 1: required string target, 2: required string address }
+struct TunnelReply { 1: string identity }
 struct PingRequest { 1: string sender }
 struct PingReply { 1: string identity }
 
