Long failures of a peer no longer overflow its backoff period

What callers saw: 500 at every attempt at a target, once it had refused 1,024 connections in a row.

Cause: 2**count without a bound, converted to a float, in three places: periods in which a target is avoided, outages of data centres, circuit breakers. The count grew that far within seconds because failures during a period counted too: where all targets of a pool are avoided all are tried, and each of the requests in flight when a target fails doubled its period.

Change: one function with a bounded exponent; failures during a period neither count nor extend it.

--- a/traystall/passthrough/health/board.py
+++ b/traystall/passthrough/health/board.py
@@ -23,6 +23,7 @@
 from traystall.quarantine.ends import TargetIncarnation
 from traystall.registry.models import RegisteredState, TargetReport
 from traystall.registry.table import Registry
+from traystall.systems.backoff import backoff_seconds
 from traystall.tables.availability import Availability
 from traystall.tables.target_limits import TargetLimit
 
@@ -123,11 +124,15 @@
             self.mean_seconds = seconds
 
     def on_failure(self, now: float, random) -> None:
-        """Record a failure; avoid the target with exponential backoff after several in a row."""
+        """Record a failure; avoid the target with exponential backoff after several in a row.
+
+        Failures during a period neither count nor extend it: they belong to requests that were in
+        flight when it began, or that had no other target.
+        """
         self.failures += 1
-        if self.failures < FAILURES_TO_AVOID:
+        if self.failures < FAILURES_TO_AVOID or now < self.avoid_until:
             return
-        seconds = min(_MAX_AVOID_SECONDS, _FIRST_AVOID_SECONDS * 2**self.avoid_count)
+        seconds = backoff_seconds(_FIRST_AVOID_SECONDS, _MAX_AVOID_SECONDS, self.avoid_count)
         self.avoid_count += 1
         self.avoid_until = max(self.avoid_until, now + seconds * random.uniform(0.75, 1.25))
 
--- a/traystall/passthrough/health/data_centre_monitor.py
+++ b/traystall/passthrough/health/data_centre_monitor.py
@@ -4,6 +4,8 @@
 Performs no I/O; times are monotonic seconds.
 """
 
+from traystall.systems.backoff import backoff_seconds
+
 # A data centre is considered unreachable if this many different peers there do not respond within
 # this time.
 _SILENT_PEERS = 2
@@ -52,7 +54,7 @@
         outages = self._outage_counts.get(data_centre, 0)
         # After an earlier outage without a response since, a single silent peer is enough.
         if len(peers) >= _SILENT_PEERS or outages:
-            seconds = min(_MAX_OUTAGE_SECONDS, _FIRST_OUTAGE_SECONDS * 2**outages)
+            seconds = backoff_seconds(_FIRST_OUTAGE_SECONDS, _MAX_OUTAGE_SECONDS, outages)
             self._outage_until[data_centre] = now + seconds
             self._outage_counts[data_centre] = outages + 1
             self._outage_since.setdefault(data_centre, now)
--- a/traystall/systems/breakers.py
+++ b/traystall/systems/breakers.py
@@ -3,6 +3,7 @@
 A slow response isn't a failure: it raises the service ratio in `traystall.systems.speeds`.
 """
 
+from traystall.systems.backoff import backoff_seconds
 from traystall.tables.targets import Breaker
 
 FAILURES_TO_OPEN = 3
@@ -41,6 +42,6 @@
     breaker.probing = False
     if breaker.failures < FAILURES_TO_OPEN:
         return
-    seconds = min(MAX_OPEN_SECONDS, FIRST_OPEN_SECONDS * 2**breaker.open_count)
+    seconds = backoff_seconds(FIRST_OPEN_SECONDS, MAX_OPEN_SECONDS, breaker.open_count)
     breaker.open_count += 1
     breaker.open_until = now + seconds * random.uniform(0.75, 1.25)
