--- a/tests/support/emulator/runner.py
+++ b/tests/support/emulator/runner.py
@@ -12,6 +12,9 @@
 from traystall.core import clock
 from traystall.passthrough.dialect import HeaderNames
 
+BRITTLE_HEADER = "Traystall-Brittle"
+# A brittle target ends when it rejects more requests than it tolerates within this time.
+_REJECTION_WINDOW_SECONDS = 1.0
 FAULTS = (
     "none",
     "not run",
@@ -34,6 +37,14 @@
 )
 
 
+class _Slots:
+    """The slots and the queue of one incarnation."""
+
+    def __init__(self):
+        self.running = 0
+        self.waiting = deque()
+
+
 class Runner:
     """Serve one target on a free loopback port."""
 
@@ -79,6 +90,15 @@
         # no limit is announced), and the time of the first announcement.
         self.limit = None
         self.limit_announced_at = None
+        # Number of requests that run at once (None: any number) and that may wait for a slot.
+        self.slots = None
+        self.queue_size = 0
+        # Rejections a second that all responses declare to be too many (None: not declared), times
+        # of rejections for lack of room, and what is called when there were too many.
+        self.brittle = None
+        self.rejected_at = []
+        self.on_fall = None
+        self._slots_in_use = _Slots()
         self.address = ""
         self._server = None
         self._writers = set()
@@ -104,6 +124,7 @@
         """End at once like a killed process: the port closes and every connection breaks."""
         self.is_up = False
         self._server.close()
+        self._slots_in_use = _Slots()
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -153,6 +174,40 @@
                 self.rejected.append(request)
                 self._answer(writer, request, 421, b"", signed=False)
                 return True
+        if self.slots is not None:
+            return await self._run_in_slot(writer, request, fault)
+        return await self._run(writer, request, fault)
+
+    async def _run_in_slot(self, writer, request, fault):
+        in_use = self._slots_in_use
+        if in_use.running >= self.slots:
+            if len(in_use.waiting) >= self.queue_size:
+                return self._reject_full(writer, request)
+            turn = asyncio.get_running_loop().create_future()
+            in_use.waiting.append(turn)
+            await turn
+        else:
+            in_use.running += 1
+        try:
+            return await self._run(writer, request, fault)
+        finally:
+            if in_use.waiting:
+                in_use.waiting.popleft().set_result(None)
+            else:
+                in_use.running -= 1
+
+    def _reject_full(self, writer, request):
+        self.rejected.append(request)
+        self._answer(writer, request, 503, b"", {self.names.not_run: "1"}, signed=False)
+        now = clock.monotonic()
+        self.rejected_at.append(now)
+        recent = [at for at in self.rejected_at if now - at < _REJECTION_WINDOW_SECONDS]
+        if self.brittle is not None and len(recent) > self.brittle and self.is_up:
+            self.rejected_at.clear()
+            self.on_fall()
+        return True
+
+    async def _run(self, writer, request, fault):
         self.runs.append(request)
         if self.ends_on and self.ends_on in request["body"]:
             self.ends += 1
@@ -265,6 +320,8 @@
         if self.leaves:
             headers[self.names.leaving] = "1"
             self.left_at = self.left_at or clock.monotonic()
+        if self.brittle is not None:
+            headers[BRITTLE_HEADER] = str(self.brittle)
         if self.limit is not None:
             headers[self.names.limit] = self.limit
             self.limit_announced_at = self.limit_announced_at or clock.monotonic()
