Brittle targets run only requests that hold a lease of one of their places

What callers saw: a service whose targets declared themselves brittle was down most of the time under more than it could run, since its targets ended one after the other, and again as soon as they were back.

Cause: nobody read the declaration. Each gateway bounds what itself sends, and a rejection is what tells it that a target is full; N rejections a second can be fewer than there are gateways, so learning from rejections is too late.

Change: a gateway that meets the declaration tells all others, as it does with a rate limit. From then on each request to that target, or call of a worker, first leases one of its slots from the target's lender and gives it back at its end. The room to wait, which may shrink, is left unused. A target that returns after a fall, and one that joins a brittle pool, counts as brittle until a response says otherwise, so it doesn't meet the whole load at once. A request that gets no place within a fifth of its aim is refused as busy.

--- a/tests/cli/test_reference.py
+++ b/tests/cli/test_reference.py
@@ -109,7 +109,9 @@
     assert inside <= set(DECISION_MODULES)
 
 
-@pytest.mark.parametrize("name", ["rendezvous", "permits", "target_limits", "retry_after"])
+@pytest.mark.parametrize(
+    "name", ["rendezvous", "permits", "leases", "target_limits", "retry_after", "backoff"]
+)
 def test_shared_decision_modules_import_no_io_and_no_clock(name):
     path = ROOT / "traystall" / "systems" / f"{name}.py"
     modules = {
--- a/traystall/core/metrics.py
+++ b/traystall/core/metrics.py
@@ -46,6 +46,9 @@
 sent_in_rest_total = Counter(
     "traystall_sent_in_rest_total", "Requests and calls sent to targets at rest; it should stay 0."
 )
+brittle_targets = Gauge(
+    "traystall_brittle_targets", "Targets that say they fall over after too many rejections."
+)
 tunnels_total = Counter(
     "traystall_tunnels_total", "Connections to targets opened through another gateway, by pool."
 )
--- a/traystall/passthrough/context.py
+++ b/traystall/passthrough/context.py
@@ -23,6 +23,7 @@
 from traystall.passthrough.ownership.owners import OwnerSelector, batching_key
 from traystall.passthrough.stages.cells import Cells, batching_cells
 from traystall.passthrough.tunnels.dialer import TargetDialer
+from traystall.permits.leases import Leases
 from traystall.permits.lenders import SETTLE_SECONDS, LenderRanking
 from traystall.permits.permits import Permits
 from traystall.quarantine.guard import RequestGuard
@@ -65,9 +66,15 @@
         self.places = DataCentreMonitor(data_centre)
         lender_ranking = LenderRanking(identity, lender_settle_seconds)
         self.permits = Permits(identity, self.directory, self.random, lender_ranking)
+        self.leases = Leases(identity, self.directory, self.random, lender_ranking)
         self.dialer = TargetDialer(self)
         self.board = TargetBoard(
-            self.random, self.max_connections, self.places, self.permits, self.dialer.dial
+            self.random,
+            self.max_connections,
+            self.places,
+            self.permits,
+            self.leases,
+            self.dialer.dial,
         )
         self.notices = TargetNoticeMonitor(names, self.board.reindex)
         self.board.on_send = self.notices.on_request_sent
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -95,6 +95,7 @@
         self.gateway_context.guard = RequestGuard(key, leader)
         self._follow()
         self.gateway_context.permits.links = self._links
+        self.gateway_context.leases.links = self._links
         self.gateway_context.dialer.link_identity = link_identity
         self._tunnels = TunnelService(self.gateway_context)
         self.gateway_context.batcher = Batcher(self.gateway_context, self._links)
@@ -119,14 +120,15 @@
         prober = DataCentreProber(self.gateway_context, self._links)
         self._background.start(prober.probe_forever())
         context = self.gateway_context
-        broadcaster = LimitBroadcaster(
-            context.permits,
-            self._links,
-            context.directory,
-            context.board.data_centre_of,
-            context.board.lives,
-        )
-        self._background.start(broadcaster.run_forever())
+        for limits in (context.permits, context.leases):
+            broadcaster = LimitBroadcaster(
+                limits,
+                self._links,
+                context.directory,
+                context.board.data_centre_of,
+                context.board.lives,
+            )
+            self._background.start(broadcaster.run_forever())
         seconds = round(clock.monotonic() - startup.STARTED_AT, 3)
         logger.info("started", extra={"identity": self._identity, "seconds": seconds})
 
@@ -136,6 +138,7 @@
         logger.info("draining", extra={"in_flight": self._front.in_flight})
         self._state = "draining"
         self.gateway_context.permits.may_grant = False
+        self.gateway_context.leases.may_grant = False
         drain = Drain(self._front, self._callers)
         notice, limit = self.settings.drain_notice, self.settings.drain_limit
         await asyncio.gather(drain.run(notice, limit), self._tunnels.drain(notice + limit))
@@ -152,6 +155,7 @@
         self.gateway_context.batcher.close()
         self.gateway_context.placement_service.close()
         self.gateway_context.permits.close()
+        self.gateway_context.leases.close()
         self.gateway_context.guard.ends.close()
         await self._callers.close(_CLOSE_SECONDS)
         if self._health is not None:
@@ -254,12 +258,17 @@
             self.gateway_context.placement_service.on_place_note(request)
             return None
         if isinstance(request, ttypes.PermitRequest):
-            return self.gateway_context.permits.grant(request)
+            lender = self.gateway_context.leases if request.places else self.gateway_context.permits
+            return lender.grant(request)
         if isinstance(request, ttypes.PermitReturn):
-            self.gateway_context.permits.on_permit_returned(request)
+            if request.lease:
+                self.gateway_context.leases.on_returned(request)
+            else:
+                self.gateway_context.permits.on_permit_returned(request)
             return None
         if isinstance(request, ttypes.LimitNews):
             self.gateway_context.permits.merge_limits(request)
+            self.gateway_context.leases.merge_limits(request)
             return None
         if isinstance(request, ttypes.PingRequest):
             return await batcher.ping(request)
--- a/traystall/passthrough/dialect.py
+++ b/traystall/passthrough/dialect.py
@@ -23,6 +23,7 @@
     not_run: str = "Traystall-Not-Run"
     leaving: str = "Traystall-Leaving"
     limit: str = LIMIT_HEADER
+    brittle: str = "Traystall-Brittle"
     pieces: str = "Traystall-Pieces"
     piece_key: str = "Traystall-Piece-Key"
     inputs: str = "Traystall-Inputs"
--- a/traystall/passthrough/exchange/attempt.py
+++ b/traystall/passthrough/exchange/attempt.py
@@ -11,6 +11,7 @@
 from traystall.passthrough.exchange.connection import ResponseHead, SentRequest, TargetConnection
 from traystall.passthrough.health.board import TargetView
 from traystall.permits.exceptions import PermitDenied
+from traystall.permits.leases import Lease
 from traystall.permits.permits import Permit
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
@@ -18,6 +19,8 @@
 # to `_MAX_STRAY_BYTES`.
 _MAX_STRAY_RESPONSES = 2
 _MISDIRECTED = 421
+# Longest exchange with a target if the caller names no time.
+_LONGEST_EXCHANGE_SECONDS = 10.0
 _MAX_STRAY_BYTES = 1024 * 1024
 # Statuses with which a gateway guarantees that a request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -50,6 +53,7 @@
         self._connection: TargetConnection | None = None
         self._is_complete = False
         self._permit: Permit | None = None
+        self._lease: Lease | None = None
         self.was_sent = False
         self.sent_at = 0.0
 
@@ -61,6 +65,8 @@
         self.view.availability.on_finished(self._is_first_after_backoff)
         if self._permit is not None and not self.was_sent:
             self.view.permits.give_back(self._permit)
+        if self._lease is not None:
+            self.view.leases.give_back(self._lease)
         if connection is None:
             return
         if not self.was_sent:
@@ -70,16 +76,24 @@
         else:
             self.view.connections.discard(connection)
 
-    async def open(self, max_idle_seconds: float, patience: float = 0.0) -> None:
+    async def open(
+        self,
+        max_idle_seconds: float,
+        patience: float = 0.0,
+        longest_seconds: float = _LONGEST_EXCHANGE_SECONDS,
+    ) -> None:
         """Acquire a connection; raise ConnectFailed if there is none. Nothing is sent here.
 
         A kept connection is used only if it was idle for at most `max_idle_seconds`. Raise
         TargetHeldBack, here and in `send`, if the target does not accept this request now, or if
-        its rate limit leaves no permit within the next `patience` seconds.
+        its rate limit leaves no permit within the next `patience` seconds. The exchange takes at
+        most `longest_seconds`; a brittle target's place is leased for that time.
         """
         self._require_availability("choice")
         if self.view.limit.is_limited:
             await self._take_permit(patience)
+        if self._is_work and self.view.brittle.is_limited:
+            await self._take_lease(longest_seconds)
         self._is_first_after_backoff = self._is_work and self.view.availability.on_sent()
         self._connection = await self.view.connections.acquire(max_idle_seconds)
 
@@ -112,6 +126,16 @@
         if wait > 0:
             await asyncio.sleep(wait)
 
+    async def _take_lease(self, seconds):
+        """Lease a place at a brittle target, which would end if it had to reject requests."""
+        report = self.view.report
+        try:
+            self._lease = await self.view.leases.take(
+                report.life, report.data_centre, max(1, report.slots), seconds
+            )
+        except PermitDenied:
+            self._raise_held_back("brittle")
+
     def _require_availability(self, where):
         """Raise TargetHeldBack unless the target accepts this request now."""
         now = clock.monotonic()
--- a/traystall/passthrough/exchange/refusals.py
+++ b/traystall/passthrough/exchange/refusals.py
@@ -23,6 +23,8 @@
 # are all rate-limited with the limit used up.
 RESTING = "resting"
 LIMITED = "limited"
+# Refusal code for a pool whose brittle targets have no free place.
+BUSY = "busy"
 # Retry-After for requests whose data centres are evacuated. An operator does not restore a data
 # centre sooner than this.
 EVACUATED_RETRY_AFTER_SECONDS = 2.0
@@ -63,8 +65,11 @@
     def backoff_refusal(self, passed: PassRequest, seconds: float) -> Refusal:
         """Return the refusal for a pool that is unavailable for the next `seconds`.
 
-        The cause is a backoff period or a used-up rate limit.
+        The cause is a backoff period, a used-up rate limit or brittle targets without a place.
         """
+        if self._context.board.is_brittle(passed.pool, passed.places):
+            detail = f"All places at the brittle targets of '{passed.pool}' are taken."
+            return self.refusal(passed, BUSY, detail)
         turn = self._context.permit_interval(passed.pool, passed.places)
         if not turn:
             detail = f"All targets of '{passed.pool}' have asked for rest."
--- a/traystall/passthrough/exchange/runner.py
+++ b/traystall/passthrough/exchange/runner.py
@@ -202,9 +202,10 @@
         """Send the request to one target after another until an attempt gives the final result."""
         unreachable = 0
         failure: Failure | None = None
+        place_deadline = self._place_deadline(passed)
         while True:
             await self._require_admission(passed)
-            view = await self._wait_for_target(passed)
+            view = await self._wait_for_target(passed, place_deadline)
             if view is None:
                 return self._finish_failed(passed, sink, failure)
             outcome = await self._attempt(passed, view, sink, chain)
@@ -215,6 +216,7 @@
                 passed.tried.discard(view.identity)
                 continue
             failure = outcome
+            place_deadline = self._place_deadline(passed)
             decision(
                 "attempt-failed",
                 request=passed.request_id,
@@ -239,12 +241,19 @@
                 # the stream needs them again.
                 raise InputsLost("The stream goes on elsewhere and needs its inputs again.")
 
-    async def _wait_for_target(self, passed) -> TargetView | None:
+    def _place_deadline(self, passed) -> float:
+        """Return until when an attempt may wait for a place at a brittle target."""
+        return clock.monotonic() + passed.route.aim * MAX_BACKOFF_WAIT_RATIO
+
+    async def _wait_for_target(self, passed, place_deadline) -> TargetView | None:
         """Return the target for an attempt; wait briefly if one becomes available soon."""
+        board = self._context.board
+        if clock.monotonic() > place_deadline and board.is_brittle(passed.pool, passed.places):
+            return None
         give_up_at = clock.monotonic() + passed.route.aim * MAX_BACKOFF_WAIT_RATIO
         while (view := await self._choose(passed, book=True)) is None:
             now = clock.monotonic()
-            next_seconds = self._context.board.next_available_seconds(
+            next_seconds = board.next_available_seconds(
                 passed.pool, passed.tried, now, passed.places
             )
             wait = max(_AVAILABILITY_POLL_SECONDS, next_seconds)
@@ -328,7 +337,7 @@
         """Send the request and process the response; exchange errors are raised."""
         max_idle_seconds = float("inf") if passed.route.is_safe_to_retry else _MAX_IDLE_SECONDS
         patience = self._refusals.max_turn_wait(passed) if view.limit.is_limited else 0.0
-        await attempt.open(max_idle_seconds, patience)
+        await attempt.open(max_idle_seconds, patience, max(0.0, passed.remaining()))
         began = clock.monotonic()
         attempt.send(passed.to_bytes(view, sink.last_id))
         passed.attempts += 1
--- a/traystall/passthrough/health/board.py
+++ b/traystall/passthrough/health/board.py
@@ -19,6 +19,7 @@
 )
 from traystall.passthrough.exchange.pool import ConnectionPool
 from traystall.passthrough.health.data_centre_monitor import DataCentreMonitor
+from traystall.permits.leases import Leases
 from traystall.permits.permits import Permit, Permits
 from traystall.quarantine.ends import TargetIncarnation
 from traystall.registry.models import RegisteredState, TargetReport
@@ -53,6 +54,9 @@
     gateway. `limit` is its rate limit for all gateways together, and `permits` obtains the permits
     to send within that limit. `backoff_connection` and `limit_connection` are the connections on
     which the latest backoff notice and the latest rate limit arrived.
+
+    `brittle` holds how many rejections a second the target bears, if it says so. It then runs only
+    requests that hold a lease of one of its places, which `leases` obtains.
     """
 
     report: TargetReport
@@ -71,6 +75,8 @@
     limit: TargetLimit = msgspec.field(default_factory=TargetLimit)
     permits: Permits | None = None
     limit_connection: TargetConnection | None = None
+    brittle: TargetLimit = msgspec.field(default_factory=TargetLimit)
+    leases: Leases | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -79,9 +85,11 @@
 
     def may_send_work(self, now: float) -> bool:
         """Return whether the target's state, its notices and its rate limit allow new work now."""
-        return (
-            self.is_ready and self.availability.may_send_work(now) and not self.limit.is_closed(now)
-        )
+        return self.is_ready and self.availability.may_send_work(now) and not self.is_closed(now)
+
+    def is_closed(self, now: float) -> bool:
+        """Return whether other gateways use up its rate limit, or its places, for the moment."""
+        return self.limit.is_closed(now) or self.brittle.is_closed(now)
 
     def is_covered(self, permit: Permit | None) -> bool:
         """Return whether the target's rate limit allows a request with `permit` now."""
@@ -90,9 +98,9 @@
         return self.permits is not None and self.permits.covers(self.report.life, permit)
 
     def blocked_until(self) -> float:
-        """Return when the backoff period and the wait for its rate limit are both over."""
-        closed = self.limit.closed_until if self.limit.is_limited else float("-inf")
-        return max(self.availability.backoff_until, closed)
+        """Return when the backoff period and the waits for its limits are all over."""
+        closed = [limit.closed_until for limit in (self.limit, self.brittle) if limit.is_limited]
+        return max([self.availability.backoff_until, *closed])
 
     @property
     def identity(self) -> str:
@@ -168,12 +176,14 @@
         max_connections,
         places: DataCentreMonitor,
         permits: Permits | None = None,
+        leases: Leases | None = None,
         dial: Dial = dial_directly,
     ):
         self._dial = dial
         self.registry = Registry()
         self.places = places
         self._permits = permits
+        self._leases = leases
         self._random = random
         self._max_connections = max_connections
         self._views: dict[str, TargetView] = {}
@@ -196,6 +206,7 @@
         row = self.registry.get(report.identity)
         view = self._views.get(report.identity)
         availability, limit = Availability(), None
+        brittle = self._known_brittleness(report)
         if view is not None and 0 < view.report.started < row.report.started:
             # Connections, failures and learned durations belong to the previous incarnation. Its
             # connections are closed when it ends, so a notice that arrived on a connection that is
@@ -212,15 +223,28 @@
                 view.report = row.report
             self._drop(report.identity)
         elif view is None:
-            self._views[report.identity] = self._make_view(row, availability, limit)
+            self._views[report.identity] = self._make_view(row, availability, limit, brittle)
         else:
             if self._permits is not None and view.report.life != row.report.life:
                 view.limit = self._permits.register_incarnation(row.report.life, view.limit)
+            if self._leases is not None and view.report.life != row.report.life:
+                view.brittle = self._leases.register_incarnation(row.report.life, view.brittle)
             view.report = row.report
             view.cold_until = row.cold_until
         self._index()
 
-    def _make_view(self, row, availability, limit) -> TargetView:
+    def _known_brittleness(self, report) -> TargetLimit | None:
+        """Return what the target's last incarnation, or another target of its pool, announced.
+
+        A target that returns after a fall announces it only in its first response; without this it
+        would meet the whole load until then.
+        """
+        previous = self._views.get(report.identity)
+        others = [view for view in self._views.values() if view.report.pool == report.pool]
+        known = [view.brittle for view in (previous, *others) if view and view.brittle.is_limited]
+        return known[0] if known else None
+
+    def _make_view(self, row, availability, limit, brittle) -> TargetView:
         max_connections, dial = self._max_connections, self._dial
         observer = ConnectionObserver(
             lambda connection: self.on_send(view, connection),
@@ -234,6 +258,9 @@
         if self._permits is not None:
             view.permits = self._permits
             view.limit = self._permits.register_incarnation(row.report.life, limit)
+        if self._leases is not None:
+            view.leases = self._leases
+            view.brittle = self._leases.register_incarnation(row.report.life, brittle)
         return view
 
     def record_seen(self, identity: str, seen_at: float) -> None:
@@ -325,7 +352,7 @@
             for view in self.eligible(name, places)
             if not view.is_replaced
             and view.availability.may_send_work(now)
-            and (include_closed or not view.limit.is_closed(now))
+            and (include_closed or not view.is_closed(now))
         ]
         healthy = [view for view in ready if now >= view.avoid_until]
         reachable = [
@@ -349,6 +376,11 @@
             return None
         return sum(view.limit.per_second for view in found)
 
+    def is_brittle(self, name: str, places: tuple[str, ...] = ()) -> bool:
+        """Return whether all targets of a pool are brittle."""
+        found = [view for view in self.eligible(name, places) if not view.is_replaced]
+        return bool(found) and all(view.brittle.is_limited for view in found)
+
     def unavailable(self, name: str, now: float) -> set[str]:
         """Return the identities of the targets of a pool that get no work from this gateway.
 
--- a/traystall/passthrough/health/notices.py
+++ b/traystall/passthrough/health/notices.py
@@ -48,7 +48,8 @@
             self._start_backoff(view, connection, head, seconds, values)
         elif head.status < _FIRST_FAILURE_STATUS:
             view.availability.on_answer(clock.monotonic())
-        self._process_limit(view, connection, head)
+        self._process_limit(view.permits, view.limit, self._names.limit, view, connection, head)
+        self._process_limit(view.leases, view.brittle, self._names.brittle, view, connection, head)
         if head.get(self._names.leaving) not in (None, "", "0") and not view.availability.leaves:
             self._process_shutdown(view, head)
 
@@ -69,16 +70,16 @@
         metrics.resting_targets.set({}, len(self._in_backoff))
         metrics.leaving_targets.set({}, sum(view.availability.leaves for view in views))
 
-    def _process_limit(self, view, connection, head):
-        """Process the rate limit in a response, or its absence.
+    def _process_limit(self, limits, limit, name, view, connection, head):
+        """Process what header `name` of a response announces, or its absence.
 
-        A missing limit ends an earlier one only if the response belongs to the request sent last,
-        that request was new work, and the response is no failure.
+        A missing header ends an earlier limit only if the response belongs to the request sent
+        last, that request was new work, and the response is no failure.
         """
-        if view.permits is None:
+        if limits is None:
             return
-        values = head.get_all(self._names.limit)
-        if not values and not view.limit.has_been_limited:
+        values = head.get_all(name)
+        if not values and not limit.has_been_limited:
             return
         announced = parse_limit(values)
         if announced is None:
@@ -93,9 +94,9 @@
             sent_request.is_work and in_order and head.status < _FIRST_FAILURE_STATUS
         ):
             return
-        if announced.per_second is not None:
+        if announced.per_second is not None and limits is view.permits:
             view.limit_connection = connection
-        view.permits.observe_answer(
+        limits.observe_answer(
             view.report.life, announced, sent_request.sent_at, response_request_id or ""
         )
 
--- a/traystall/passthrough/stages/piece_calls.py
+++ b/traystall/passthrough/stages/piece_calls.py
@@ -27,9 +27,10 @@
     now = clock.monotonic()
     call = context.stage_dialect.run([_to_order(job, now) for job in batch])
     headers = {context.names.expected_incarnation: view.identity}
-    async with asyncio.timeout(expected * _TIMEOUT_FACTOR + _TIMEOUT_MARGIN_SECONDS):
+    longest = expected * _TIMEOUT_FACTOR + _TIMEOUT_MARGIN_SECONDS
+    async with asyncio.timeout(longest):
         async with Attempt(view, context.names, None) as attempt:
-            await attempt.open(float("inf"))
+            await attempt.open(float("inf"), longest_seconds=longest)
             attempt.send(request_bytes(call, view.report.address, headers))
             answer = await attempt.read_response()
     if attempt.has_not_run():
--- a/traystall/permits/broadcast.py
+++ b/traystall/permits/broadcast.py
@@ -7,11 +7,10 @@
 import asyncio
 import logging
 
-from traystall.core import clock, metrics
+from traystall.core import clock
 from traystall.core.exceptions import RpcError
-from traystall.permits.permits import Permits
+from traystall.permits.shared_limits import SharedLimits
 from traystall.rpc.client import LinkPool
-from traystall.rpc.gen.wire.ttypes import LimitNews
 from traystall.tables.gateways import GatewayRow
 
 # Interval of the distribution: every gateway knows a limit after two intervals.
@@ -27,7 +26,7 @@
 class LimitBroadcaster:
     """Send known limits: the first lender to every gateway, other gateways to the lenders."""
 
-    def __init__(self, permits: Permits, links: LinkPool, rows, data_centre_of, lives):
+    def __init__(self, permits: SharedLimits, links: LinkPool, rows, data_centre_of, lives):
         """Use `data_centre_of(life)` to locate a target and `lives()` for the known ones."""
         self._permits = permits
         self._links = links
@@ -57,7 +56,7 @@
         limits = self._permits.limits()
         if limits:
             self._permits.retain(self._lives())
-        metrics.limited_targets.set({}, sum(limit.is_limited for limit in limits.values()))
+        self._permits.gauge.set({}, sum(limit.is_limited for limit in limits.values()))
         if not limits:
             return
         self._sent = {row.identity: self._sent.get(row.identity, {}) for row in rows}
@@ -92,7 +91,7 @@
 
     async def _send_limits(self, row: GatewayRow, lives):
         records = [self._permits.record(life) for life in lives]
-        message = LimitNews(sender=self._permits.identity, limits=records)
+        message = self._permits.news(records)
         try:
             await self._links.link(row.rpc_address).send(message)
         except RpcError as error:
--- /dev/null
+++ b/traystall/permits/leases.py
@@ -0,0 +1,131 @@
+"""Lease places at brittle targets from their lenders, and lease them out where this gateway lends.
+
+Permits bound the requests a second to a target; leases bound those at a target at the same time.
+"""
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from traystall.core import clock, metrics
+from traystall.core.ids import new_id
+from traystall.permits.exceptions import PermitDenied
+from traystall.permits.lenders import LenderRanking
+from traystall.permits.shared_limits import NO_LENDER_BACKOFF_SECONDS, SharedLimits
+from traystall.rpc.gen.wire.ttypes import (
+    LimitNews,
+    PermitReply,
+    PermitRequest,
+    PermitReturn,
+    TargetLimitRecord,
+)
+from traystall.systems.leases import PlaceTable, places_of_second_lender
+from traystall.systems.permits import FIRST_LENDER_SHARE
+from traystall.tables.gateways import GatewayRow
+
+# Time until a gateway that got no place asks the lender again, before jitter.
+_RETRY_SECONDS = 0.03
+_RETRY_SPREAD = (0.5, 1.5)
+
+
+class Lease(msgspec.Struct, frozen=True):
+    """The right to have one request at one incarnation of a target until it ends."""
+
+    life: str
+    name: str
+    lender: str
+
+
+class Leases(SharedLimits):
+    """Know which targets are brittle, lease places at them, and lease them out.
+
+    What a brittle target announces is kept as a limit: the rejections a second that it bears.
+    """
+
+    start_event = "target-brittle"
+    end_event = "target-brittle-ended"
+    gauge = metrics.brittle_targets
+
+    def __init__(
+        self,
+        identity: str,
+        rows: Callable[[], Iterable[GatewayRow]],
+        random,
+        lender_ranking: LenderRanking | None = None,
+    ):
+        super().__init__(identity, rows, random, lender_ranking)
+        self._tables: dict[str, PlaceTable] = {}
+
+    def news(self, records: list[TargetLimitRecord]) -> LimitNews:
+        """Return the message that tells other gateways of brittle targets."""
+        return LimitNews(sender=self.identity, brittle=records)
+
+    def records_in(self, news: LimitNews) -> list[TargetLimitRecord]:
+        """Return the brittle targets in a message of another gateway."""
+        return news.brittle or []
+
+    async def take(self, life: str, data_centre: str, places: int, seconds: float) -> Lease:
+        """Return a lease of one of the `places` of a target for up to `seconds`.
+
+        Raise PermitDenied if all are taken or no lender replies.
+        """
+        limit = self.limit(life)
+        now = clock.monotonic()
+        if now < limit.closed_until:
+            raise PermitDenied(limit.closed_until - now)
+        request = PermitRequest(
+            sender=self.identity,
+            known=self.record(life),
+            data_centre=data_centre,
+            places=places,
+            lease=new_id(),
+            seconds=seconds,
+        )
+        for lender in self.lender_ranking.lenders(life, data_centre):
+            reply = await self._ask_lender(lender, request)
+            if reply is None or not reply.lends:
+                continue
+            if reply.granted:
+                return Lease(life, request.lease, lender)
+            wait = _RETRY_SECONDS * self._random.uniform(*_RETRY_SPREAD)
+            self._defer_requests_for(limit, wait, is_spare=False)
+            raise PermitDenied(wait)
+        self._defer_requests_for(limit, NO_LENDER_BACKOFF_SECONDS, is_spare=False)
+        raise PermitDenied(NO_LENDER_BACKOFF_SECONDS)
+
+    def give_back(self, lease: Lease) -> None:
+        """Return the place of a request that has ended."""
+        message = PermitReturn(life=lease.life, left=0.0, lease=lease.name)
+        if lease.lender == self.identity:
+            self.on_returned(message)
+        elif self.links is not None:
+            address = self._address(lease.lender)
+            if address:
+                self._spawn(self._send(address, message))
+
+    def grant(self, request: PermitRequest) -> PermitReply:
+        """Handle a request of another gateway or of this one for a place."""
+        now = clock.monotonic()
+        life = request.known.life
+        self._merge_record(request.known, request.sender)
+        known = self.record(life)
+        data_centre = request.data_centre or ""
+        part = self.lender_ranking.part(life, data_centre, now) if self.may_grant else 0.0
+        if not part:
+            return PermitReply(lends=False, granted=False, known=known)
+        places = request.places
+        if part < FIRST_LENDER_SHARE:
+            places = places_of_second_lender(places)
+        table = self._tables.setdefault(life, PlaceTable())
+        granted = table.lease(request.lease, places, request.seconds or 0.0, now)
+        return PermitReply(lends=True, granted=granted, known=known)
+
+    def on_returned(self, message: PermitReturn) -> None:
+        """Handle the end of a lease."""
+        table = self._tables.get(message.life)
+        if table is not None:
+            table.release(message.lease)
+
+    def _forget(self, life):
+        super()._forget(life)
+        self._tables.pop(life, None)
--- a/traystall/rpc/gen/wire/ttypes.py
+++ b/traystall/rpc/gen/wire/ttypes.py
@@ -9366,6 +9366,9 @@
      - data_centre
      - patience
      - spare
+     - places
+     - lease
+     - seconds
 
     """
 
@@ -9375,15 +9378,21 @@
         'data_centre',
         'patience',
         'spare',
+        'places',
+        'lease',
+        'seconds',
     )
 
 
-    def __init__(self, sender=None, known=None, data_centre=None, patience=None, spare=None,):
+    def __init__(self, sender=None, known=None, data_centre=None, patience=None, spare=None, places=None, lease=None, seconds=None,):
         self.sender = sender
         self.known = known
         self.data_centre = data_centre
         self.patience = patience
         self.spare = spare
+        self.places = places
+        self.lease = lease
+        self.seconds = seconds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -9420,6 +9429,21 @@
                     self.spare = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.places = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.lease = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -9450,6 +9474,18 @@
             oprot.writeFieldBegin('spare', TType.BOOL, 5)
             oprot.writeBool(self.spare)
             oprot.writeFieldEnd()
+        if self.places is not None:
+            oprot.writeFieldBegin('places', TType.I32, 6)
+            oprot.writeI32(self.places)
+            oprot.writeFieldEnd()
+        if self.lease is not None:
+            oprot.writeFieldBegin('lease', TType.STRING, 7)
+            oprot.writeString(self.lease.encode('utf-8') if sys.version_info[0] == 2 else self.lease)
+            oprot.writeFieldEnd()
+        if self.seconds is not None:
+            oprot.writeFieldBegin('seconds', TType.DOUBLE, 8)
+            oprot.writeDouble(self.seconds)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -9605,18 +9641,21 @@
     Attributes:
      - life
      - left
+     - lease
 
     """
 
     __slots__ = (
         'life',
         'left',
+        'lease',
     )
 
 
-    def __init__(self, life=None, left=None,):
+    def __init__(self, life=None, left=None, lease=None,):
         self.life = life
         self.left = left
+        self.lease = lease
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -9637,6 +9676,11 @@
                     self.left = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.lease = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -9655,6 +9699,10 @@
             oprot.writeFieldBegin('left', TType.DOUBLE, 2)
             oprot.writeDouble(self.left)
             oprot.writeFieldEnd()
+        if self.lease is not None:
+            oprot.writeFieldBegin('lease', TType.STRING, 3)
+            oprot.writeString(self.lease.encode('utf-8') if sys.version_info[0] == 2 else self.lease)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -9687,18 +9735,21 @@
     Attributes:
      - sender
      - limits
+     - brittle
 
     """
 
     __slots__ = (
         'sender',
         'limits',
+        'brittle',
     )
 
 
-    def __init__(self, sender=None, limits=None,):
+    def __init__(self, sender=None, limits=None, brittle=None,):
         self.sender = sender
         self.limits = limits
+        self.brittle = brittle
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -9725,6 +9776,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.brittle = []
+                    (_etype329, _size326) = iprot.readListBegin()
+                    for _i330 in range(_size326):
+                        _elem331 = TargetLimitRecord()
+                        _elem331.read(iprot)
+                        self.brittle.append(_elem331)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -9742,8 +9804,15 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter326 in self.limits:
-                iter326.write(oprot)
+            for iter332 in self.limits:
+                iter332.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.brittle is not None:
+            oprot.writeFieldBegin('brittle', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.brittle))
+            for iter333 in self.brittle:
+                iter333.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -9877,11 +9946,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype330, _size327) = iprot.readListBegin()
-                    for _i331 in range(_size327):
-                        _elem332 = Member()
-                        _elem332.read(iprot)
-                        self.members.append(_elem332)
+                    (_etype337, _size334) = iprot.readListBegin()
+                    for _i338 in range(_size334):
+                        _elem339 = Member()
+                        _elem339.read(iprot)
+                        self.members.append(_elem339)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -9902,8 +9971,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter333 in self.members:
-                iter333.write(oprot)
+            for iter340 in self.members:
+                iter340.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -10042,11 +10111,11 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.entities = {}
-                    (_ktype335, _vtype336, _size334) = iprot.readMapBegin()
-                    for _i338 in range(_size334):
-                        _key339 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val340 = iprot.readBinary()
-                        self.entities[_key339] = _val340
+                    (_ktype342, _vtype343, _size341) = iprot.readMapBegin()
+                    for _i345 in range(_size341):
+                        _key346 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val347 = iprot.readBinary()
+                        self.entities[_key346] = _val347
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -10071,9 +10140,9 @@
         if self.entities is not None:
             oprot.writeFieldBegin('entities', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.entities))
-            for kiter341, viter342 in self.entities.items():
-                oprot.writeString(kiter341.encode('utf-8') if sys.version_info[0] == 2 else kiter341)
-                oprot.writeBinary(viter342)
+            for kiter348, viter349 in self.entities.items():
+                oprot.writeString(kiter348.encode('utf-8') if sys.version_info[0] == 2 else kiter348)
+                oprot.writeBinary(viter349)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -10824,6 +10893,9 @@
     (3, TType.STRING, 'data_centre', 'UTF8', None, ),  # 3
     (4, TType.DOUBLE, 'patience', None, None, ),  # 4
     (5, TType.BOOL, 'spare', None, None, ),  # 5
+    (6, TType.I32, 'places', None, None, ),  # 6
+    (7, TType.STRING, 'lease', 'UTF8', None, ),  # 7
+    (8, TType.DOUBLE, 'seconds', None, None, ),  # 8
 )
 all_structs.append(PermitReply)
 PermitReply.thrift_spec = (
@@ -10839,12 +10911,14 @@
     None,  # 0
     (1, TType.STRING, 'life', 'UTF8', None, ),  # 1
     (2, TType.DOUBLE, 'left', None, None, ),  # 2
+    (3, TType.STRING, 'lease', 'UTF8', None, ),  # 3
 )
 all_structs.append(LimitNews)
 LimitNews.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'limits', (TType.STRUCT, [TargetLimitRecord, None], False), None, ),  # 2
+    (3, TType.LIST, 'brittle', (TType.STRUCT, [TargetLimitRecord, None], False), None, ),  # 3
 )
 all_structs.append(JoinRequest)
 JoinRequest.thrift_spec = (
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -336,15 +336,19 @@
 // well be left out.
 struct PermitRequest {
   1: string sender, 2: required TargetLimitRecord known, 3: string data_centre, 4: double patience, 5: bool spare
+  // A place at a brittle target instead: how many it has, what names this one, and how many seconds it
+  // may be held. `known` then tells of the target's brittleness.
+  6: i32 places, 7: string lease, 8: double seconds
 }
 // `lends` is false where another gateway lends for this target. Granted, the request may be sent
 // from `wait` seconds on; else that is when the next may, and askers come back spread over `spread`.
 struct PermitReply {
   1: required bool lends, 2: required bool granted, 3: double wait, 4: double spread, 5: required TargetLimitRecord known
 }
-// A permit that is not used, for a moment in so many seconds.
-struct PermitReturn { 1: required string life, 2: double left }
-struct LimitNews { 1: string sender, 2: list<TargetLimitRecord> limits }
+// A permit that is not used, for a moment in so many seconds; or the name of a place that is free again.
+struct PermitReturn { 1: required string life, 2: double left, 3: string lease }
+// `brittle` tells how many rejections a second brittle targets bear.
+struct LimitNews { 1: string sender, 2: list<TargetLimitRecord> limits, 3: list<TargetLimitRecord> brittle }
 
 // ---- members that come by themselves, reads of the configuration ----
 struct JoinRequest { 1: required Member member }
