Connections to targets survive a silence of two seconds

What callers saw: 502 for a request whose target had taken no bytes for 0.9 s and then went on.

Cause: TCP_USER_TIMEOUT of 900 ms, made for links between gateways, on connections to targets too. It ends a connection with unacknowledged bytes, and by the same time keepalive probes give up, whatever their count: with the first probe after 1 s there was in effect one.

Change: 2.5 s for targets, in tunnels too; links keep 0.9 s. Broken paths are found by new connections within 0.25 s and don't need the shorter time.

--- a/traystall/passthrough/exchange/connection.py
+++ b/traystall/passthrough/exchange/connection.py
@@ -13,7 +13,7 @@
 import httptools
 import msgspec
 
-from traystall.core.sockets import enable_dead_peer_detection
+from traystall.core.sockets import TARGET_UNACKNOWLEDGED_TIMEOUT_MS, enable_dead_peer_detection
 from traystall.passthrough.exceptions import ConnectFailed, ConnectionBroken, NoAnswer
 
 # Reading from the socket pauses while more bytes than this are buffered and not yet consumed.
@@ -180,7 +180,7 @@
     def connection_made(self, transport):
         """Store the transport and enable the detection of silent peers."""
         self.transport = transport
-        enable_dead_peer_detection(transport)
+        enable_dead_peer_detection(transport, TARGET_UNACKNOWLEDGED_TIMEOUT_MS)
 
     def data_received(self, data):
         """Feed the parser; bytes on an idle connection are unexpected and close it."""
--- a/traystall/passthrough/tunnels/service.py
+++ b/traystall/passthrough/tunnels/service.py
@@ -13,7 +13,7 @@
 
 from traystall.core import clock
 from traystall.core.exceptions import RpcRefused
-from traystall.core.sockets import enable_dead_peer_detection
+from traystall.core.sockets import TARGET_UNACKNOWLEDGED_TIMEOUT_MS, enable_dead_peer_detection
 from traystall.passthrough.exchange.connection import (
     CONNECT_TIMEOUT_SECONDS,
     ResponseHead,
@@ -61,7 +61,7 @@
                 reader, writer = await asyncio.open_connection(host, int(port))
         except (OSError, TimeoutError, ValueError) as error:
             raise RpcRefused(NO_PATH, f"{request.target} is not reachable: {error}.") from error
-        enable_dead_peer_detection(writer.transport)
+        enable_dead_peer_detection(writer.transport, TARGET_UNACKNOWLEDGED_TIMEOUT_MS)
         tunnel = Tunnel(self._context, view, reader, writer, self._tunnels)
         self._tunnels.add(tunnel)
         return tunnel
