A partition that refuses connections is no proof that targets ended

What callers saw: 503 quarantined, after a gateway's path to several targets had been reset: the same request, sent by several callers at once, counted as one that ends its targets.

Cause: the same as that of the refused callers, elsewhere: what happens to this gateway's connections was taken for the state of the target. Two refused connections in a row proved an end.

Change: before an end is concluded from refusals, another gateway is asked for a tunnel. If one opens, the target runs.

Evidence: test_requests_are_not_quarantined_because_a_path_to_their_targets_broke fails before (503 quarantined beside 200), passes after; the tests of requests that end targets pass unchanged.

--- a/tests/passthrough/test_gateways_cut_off_from_targets.py
+++ b/tests/passthrough/test_gateways_cut_off_from_targets.py
@@ -90,3 +90,22 @@
         assert min(shares.values()) > 0.9, shares
 
     play(tmp_path, scenario, GATEWAYS)
+
+
+def test_requests_are_not_quarantined_because_a_path_to_their_targets_broke(tmp_path):
+    """A partition that resets connections and refuses new ones looks like targets that ended."""
+
+    async def scenario(site):
+        await start_targets(site)
+        for runner in site.runners:
+            runner.call_seconds = 0.5
+        calls = [asyncio.create_task(site.call(0, "/once/x", b"same")) for _ in range(12)]
+        await asyncio.sleep(0.2)
+        cut_off(site, [0], "reset")
+        await asyncio.gather(*calls)
+        await asyncio.sleep(1.0)
+        # A request that targets ended under is sent once at a time, so that others are refused.
+        sent = [site.call(number, "/once/x", b"same") for number in range(GATEWAYS)]
+        assert set(await asyncio.gather(*sent)) == {(200, b"answer to same")}
+
+    play(tmp_path, scenario, GATEWAYS)
--- a/tests/passthrough/test_tunnels.py
+++ b/tests/passthrough/test_tunnels.py
@@ -290,9 +290,9 @@
         dialer = context.dialer
         directory = [row("a"), row("b", "there"), row("c", "elsewhere"), row(context.identity)]
         context.directory = lambda: directory
-        assert [r.identity for r in dialer._context_rows("there")] == ["a", "b"]
+        assert [r.identity for r in dialer._tunnel_gateways("there")] == ["a", "b"]
         context.board.set_evacuated(frozenset({"there"}))
-        assert [r.identity for r in dialer._context_rows("there")] == ["a"]
+        assert [r.identity for r in dialer._tunnel_gateways("there")] == ["a"]
 
     play(tmp_path, scenario)
 
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -93,6 +93,8 @@
         key = make_key(settings.cluster, settings.secret)
         leader = LeaderLink(self._links, self.controls, _LEADER_TIMEOUT_SECONDS)
         self.gateway_context.guard = RequestGuard(key, leader)
+        dialer = self.gateway_context.dialer
+        self.gateway_context.guard.ends.is_reached_by_others = dialer.is_reached_by_others
         self._follow()
         self.gateway_context.permits.links = self._links
         self.gateway_context.leases.links = self._links
--- a/traystall/passthrough/tunnels/dialer.py
+++ b/traystall/passthrough/tunnels/dialer.py
@@ -24,6 +24,7 @@
 )
 from traystall.passthrough.tunnels.client import open_tunnel
 from traystall.passthrough.tunnels.paths import TargetPaths
+from traystall.quarantine.ends import TargetIncarnation
 from traystall.registry.models import TargetReport
 from traystall.rpc.client import LinkIdentity
 from traystall.rpc.gen.wire.ttypes import TunnelRequest
@@ -85,6 +86,18 @@
         self._record(report, connection)
         return connection
 
+    async def is_reached_by_others(self, target: TargetIncarnation) -> bool:
+        """Return whether another gateway connects to a target that refuses this one."""
+        view = self._context.board.at_address(target.address)
+        if self.link_identity is None or view is None or view.report.life != target.life:
+            return False
+        try:
+            connection = await self._open_tunnel(view.report, ConnectionObserver())
+        except ConnectFailed:
+            return False
+        connection.close()
+        return True
+
     def _record(self, report, connection):
         """Record over which path a connection was opened."""
         target, now = report.identity, clock.monotonic()
@@ -121,7 +134,7 @@
 
     async def _open_tunnel(self, report, observer) -> TargetConnection:
         """Return a connection through another gateway; raise ConnectFailed if there is none."""
-        rows = self._context_rows(report.data_centre)
+        rows = self._tunnel_gateways(report.data_centre)
         now = clock.monotonic()
         chosen = self.paths.choose_gateways(report.identity, rows, report.data_centre, now)
         if not chosen:
@@ -132,7 +145,7 @@
 
         return await _first_open([opener(row) for row in chosen], _GATEWAY_HEAD_START_SECONDS)
 
-    def _context_rows(self, data_centre) -> list[GatewayRow]:
+    def _tunnel_gateways(self, data_centre) -> list[GatewayRow]:
         """Return the gateways that may tunnel to targets in a data centre."""
         context = self._context
         allowed = {context.data_centre, data_centre} - context.board.evacuated
--- a/traystall/quarantine/ends.py
+++ b/traystall/quarantine/ends.py
@@ -2,15 +2,15 @@
 
 A connection also breaks when a response is lost or corrupted, when a link is cut, or when a target
 closes it early or has too many connections. An end is proven if connections to the target's address
-are refused twice in a row, without a response of the same incarnation in between, or if another
-incarnation appears at the address. A timeout proves nothing, since a target behind a network
-partition doesn't respond either.
+are refused twice in a row, here and at other gateways, without a response of the same incarnation
+in between, or if another incarnation appears at the address. A timeout proves nothing, since a
+target behind a network partition doesn't respond either.
 """
 
 import asyncio
 import logging
 from collections import OrderedDict, deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
@@ -70,11 +70,21 @@
     refusals: int = 0
 
 
+async def _is_reached_by_nobody(target: TargetIncarnation) -> bool:
+    return False
+
+
 class EndDetector:
-    """Investigate broken connections and report the runs of ended targets to `guard`."""
+    """Investigate broken connections and report the runs of ended targets to `guard`.
+
+    `is_reached_by_others(target)` returns whether another gateway connects to a target.
+    """
 
     def __init__(self, guard):
         self._guard = guard
+        self.is_reached_by_others: Callable[[TargetIncarnation], Awaitable[bool]] = (
+            _is_reached_by_nobody
+        )
         self._checks: dict[str, _EndCheck] = {}
         # Evidence and detection time of each ended incarnation.
         self._ended: OrderedDict[str, tuple[str, float]] = OrderedDict()
@@ -194,6 +204,11 @@
         refused = await _refuses_connections(check.target.address)
         has_responded = check.target.last_response_at() > check.since + _IN_TRANSIT_SECONDS
         check.refusals = check.refusals + 1 if refused and not has_responded else 0
+        if check.refusals < 2:
+            return False
+        # A partition may refuse connections in the target's stead.
+        if await self.is_reached_by_others(check.target):
+            check.refusals = 0
         return check.refusals > 1
 
     def _record_end(self, check, evidence):
