--- a/traystall/passthrough/tunnels/dialer.py
+++ b/traystall/passthrough/tunnels/dialer.py
@@ -45,10 +45,7 @@
 
 
 class TargetDialer:
-    """Open connections to targets for one gateway.
-
-    `on_path_broken(target)` and `on_path_restored(target)` are called with its identity.
-    """
+    """Open connections to targets for one gateway, and keep its `paths` up to date."""
 
     def __init__(self, context):
         self._context = context
--- a/traystall/permits/shared_limits.py
+++ b/traystall/permits/shared_limits.py
@@ -1,7 +1,7 @@
 """The limits that targets announce to all gateways together, and how their lenders are asked.
 
-Some announcement bounds what all gateways may send to a target, so one gateway, its lender, grants
-it piecemeal to all of them.
+An announcement bounds what all gateways together may send to a target. One gateway, the target's
+lender, grants it to all of them bit by bit.
 """
 
 import asyncio
