--- a/tests/passthrough/test_tunnels.py
+++ b/tests/passthrough/test_tunnels.py
@@ -24,9 +24,9 @@
     return GatewayRow(name, name, data_centre, "", "", 1, "serving", 0.0, True)
 
 
-async def send_request(site, path):
-    """Send a request to the cut-off gateway; return the reader and writer of the connection."""
-    host, _, port = site.gateways[0].settings.listen.rpartition(":")
+async def send_request(site, path, number=0):
+    """Send a request to a gateway; return the reader and writer of the connection."""
+    host, _, port = site.gateways[number].settings.listen.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     headers = {"Host": HOST, "Authorization": f"Token {KEY}", HeaderNames().request_id: new_id()}
     lines = [f"POST {path} HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
@@ -314,3 +314,42 @@
                 await asyncio.sleep(0.02)
 
     play(tmp_path, scenario)
+
+
+def test_tunnel_that_opens_while_its_gateway_stops_is_not_cut_off(tmp_path, monkeypatch):
+    async def scenario(site):
+        runner = await start_with_tunnels(site, "engine", events=60)
+        runner.event_seconds = 0.02
+        # The stop lasts as long as a request of the stopping gateway's own caller.
+        own_reader, own_writer = await send_request(site, "/staged/x", 1)
+        await own_reader.readuntil(b"id: 20\n")
+        is_connecting, may_connect = asyncio.Event(), asyncio.Event()
+        open_connection = asyncio.open_connection
+
+        async def connect_late(host, port, **options):
+            if f"{host}:{port}" == runner.address:
+                is_connecting.set()
+                await may_connect.wait()
+            return await open_connection(host, port, **options)
+
+        monkeypatch.setattr(asyncio, "open_connection", connect_late)
+        reader, writer = await send_request(site, "/staged/x")
+        await asyncio.wait_for(is_connecting.wait(), 5)
+        stopped = asyncio.Event()
+        stopped.set()
+        stopping = asyncio.create_task(site.gateways[1].until_stopped(stopped))
+        await asyncio.sleep(0.1)
+        may_connect.set()
+        await stopping
+        await site.gateways[1].stop()
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
+        if head.startswith(b"HTTP/1.1 200"):
+            body = await asyncio.wait_for(reader.readuntil(b"0\r\n\r\n"), 5)
+            assert b"id: 60\n" in body
+        else:
+            assert head.startswith(b"HTTP/1.1 503")
+            assert len(runner.runs) == 1
+        writer.close()
+        own_writer.close()
+
+    play(tmp_path, scenario)
