A late reply of a lender takes no place of a brittle target

Cause: a gateway that waits 60 ms for a lender in vain, or whose caller leaves in that time, forgets the lease that it asked for. The lender has granted it and keeps the place until the request's longest time is over, 5 s there. A lender that answers after 100 ms thus loses all places of its targets within a second.

Change: who does not get the reply returns the lease by name. The return may be read before the request, because requests are answered by tasks of their own, so a lender refuses a lease that was returned already.

What remains is the time that places lie idle.

--- /dev/null
+++ b/tests/permits/test_leases.py
@@ -0,0 +1,97 @@
+"""No place of a brittle target stays leased to a request that does not use it."""
+
+import asyncio
+import random
+
+import pytest
+
+from traystall.core.exceptions import RpcTimeout
+from traystall.permits.exceptions import PermitDenied
+from traystall.permits.leases import Leases
+from traystall.permits.lenders import LenderRanking
+from traystall.rpc.gen.wire.ttypes import PermitReturn
+from traystall.tables.gateways import GatewayRow
+
+LIFE, PLACE = "target-1", "here"
+LEASE_SECONDS = 60.0
+REPLY_SECONDS = 0.02
+
+
+class SlowLender:
+    """Deliver messages to a lender whose replies arrive late; it may read a return first."""
+
+    def __init__(self, lender, reads_return_first):
+        self._lender = lender
+        self._reads_return_first = reads_return_first
+        self._unread = []
+        self.is_slow = True
+
+    def link(self, address):
+        return self
+
+    async def call(self, request, timeout):
+        if self.is_slow and self._reads_return_first:
+            self._unread.append(request)
+            reply = None
+        else:
+            reply = self._lender.grant(request)
+        await asyncio.sleep(REPLY_SECONDS)
+        if self.is_slow:
+            raise RpcTimeout("The reply is late.")
+        return reply
+
+    async def send(self, message):
+        assert isinstance(message, PermitReturn)
+        self._lender.on_returned(message)
+        while self._unread:
+            self._lender.grant(self._unread.pop())
+
+
+def lending_pair(reads_return_first):
+    """Return the leases of a gateway that lends nothing, and the link to its lender."""
+    rows = [
+        GatewayRow("lender", "lender", PLACE, "lender:0", "lender:1", 0, "serving", 0.0, True),
+        GatewayRow("asker", "asker", PLACE, "asker:0", "asker:1", 1, "serving", 0.0, True),
+    ]
+    lender, asker = (
+        Leases(name, lambda: rows, random.Random(1), LenderRanking(name, settle_seconds=0.0))
+        for name in ("lender", "asker")
+    )
+    rows[0].lends = True
+    for leases in (lender, asker):
+        leases.refresh_lenders()
+    asker.links = SlowLender(lender, reads_return_first)
+    return asker
+
+
+async def settle(asker):
+    """Let the messages be sent, and forget that the lender was slow."""
+    await asyncio.sleep(0)
+    asker._lender_retry_at.clear()
+    asker.limit(LIFE).closed_until = 0.0
+    asker.links.is_slow = False
+
+
+@pytest.mark.parametrize("reads_return_first", [False, True])
+def test_place_that_was_leased_in_a_late_reply_is_free_again(reads_return_first):
+    async def scenario():
+        asker = lending_pair(reads_return_first)
+        with pytest.raises(PermitDenied):
+            await asker.take(LIFE, PLACE, 1, LEASE_SECONDS)
+        await settle(asker)
+        await asker.take(LIFE, PLACE, 1, LEASE_SECONDS)
+
+    asyncio.run(scenario())
+
+
+def test_place_for_a_caller_that_left_while_it_was_requested_is_free_again():
+    async def scenario():
+        asker = lending_pair(False)
+        taking = asyncio.create_task(asker.take(LIFE, PLACE, 1, LEASE_SECONDS))
+        await asyncio.sleep(REPLY_SECONDS / 2)
+        taking.cancel()
+        await asyncio.gather(taking, return_exceptions=True)
+        await settle(asker)
+        await asker.take(LIFE, PLACE, 1, LEASE_SECONDS)
+
+    asyncio.run(scenario())
--- a/traystall/permits/leases.py
+++ b/traystall/permits/leases.py
@@ -36,6 +36,10 @@
     lender: str
 
 
+def _end_of_lease(life, name) -> PermitReturn:
+    return PermitReturn(life=life, left=0.0, lease=name)
+
+
 class Leases(SharedLimits):
     """Know which targets are brittle, lease places at them, and lease them out.
 
@@ -95,7 +99,7 @@
 
     def give_back(self, lease: Lease) -> None:
         """Return the place of a request that has ended."""
-        message = PermitReturn(life=lease.life, left=0.0, lease=lease.name)
+        message = _end_of_lease(lease.life, lease.name)
         if lease.lender == self.identity:
             self.on_returned(message)
         elif self.links is not None:
@@ -121,10 +125,21 @@
         return PermitReply(lends=True, granted=granted, known=known)
 
     def on_returned(self, message: PermitReturn) -> None:
-        """Handle the end of a lease."""
-        table = self._tables.get(message.life)
-        if table is not None:
-            table.release(message.lease)
+        """Handle the end of a lease, which may arrive before the request for it."""
+        table = self._tables.setdefault(message.life, PlaceTable())
+        table.release(message.lease, clock.monotonic())
+
+    async def _call(self, address, request) -> PermitReply:
+        is_answered = False
+        try:
+            reply = await super()._call(address, request)
+            is_answered = True
+            return reply
+        finally:
+            if not is_answered:
+                # The lender may have leased a place in a reply that is late or lost.
+                message = _end_of_lease(request.known.life, request.lease)
+                self._spawn(self._send(address, message))
 
     def _forget(self, life):
         super()._forget(life)
--- a/traystall/permits/shared_limits.py
+++ b/traystall/permits/shared_limits.py
@@ -181,12 +181,16 @@
         if self.links is None or not address or now < self._lender_retry_at.get(lender, 0.0):
             return None
         try:
-            return await self.links.link(address).call(request, _REQUEST_TIMEOUT_SECONDS)
+            return await self._call(address, request)
         except RpcError as error:
             self._lender_retry_at[lender] = clock.monotonic() + _LENDER_BACKOFF_SECONDS
             decision("lender-silent", lender=lender, target=request.known.life, why=str(error))
             return None
 
+    async def _call(self, address, request) -> PermitReply:
+        """Send a request to a lender; raise RpcError if it does not reply in time."""
+        return await self.links.link(address).call(request, _REQUEST_TIMEOUT_SECONDS)
+
     def _defer_requests_for(self, limit, seconds, is_spare):
         until = clock.monotonic() + seconds
         if is_spare:
