A tunnel that is being connected when its gateway begins to stop is refused

Cause: TunnelService.open looked whether the gateway is about to stop before it connects to the target, and not after. A tunnel that opened in between was not waited for by those that counted the open ones.

Change: it looks again. The asking gateway tries another one, as with any refusal.

--- a/traystall/passthrough/tunnels/service.py
+++ b/traystall/passthrough/tunnels/service.py
@@ -61,6 +61,9 @@
                 reader, writer = await asyncio.open_connection(host, int(port))
         except (OSError, TimeoutError, ValueError) as error:
             raise RpcRefused(NO_PATH, f"{request.target} is not reachable: {error}.") from error
+        if self._is_draining:
+            writer.transport.abort()
+            raise RpcRefused(LEAVING, "This gateway is about to stop.")
         enable_dead_peer_detection(writer.transport, TARGET_UNACKNOWLEDGED_TIMEOUT_MS)
         tunnel = Tunnel(self._context, view, reader, writer, self._tunnels)
         self._tunnels.add(tunnel)
