An end is found also if another gateway meets the next incarnation of the target

Cause, suspected from the code and shown by a test of its own: before two refused connections count as an end, another gateway is asked whether it reaches the target, as a partition may refuse in its stead. A target that started again in between is reached too, so its end was dropped until its next report, and a trial under way with it; the next trial comes late and ends one target more.

Change: if others reach the target, the address is tried once more from here. A partition still refuses or is silent; a connection that is accepted meets a target that has started again, and the end counts.

Test: test_end_is_an_end_if_others_reach_the_next_incarnation_at_the_address, red before; the partition's case beside it was green before. tests/quarantine/test_ends.py and tests/passthrough/test_gateways_cut_off_from_targets.py: 45 passed, twice.

--- a/tests/quarantine/test_ends.py
+++ b/tests/quarantine/test_ends.py
@@ -64,6 +64,39 @@
     run_scenario(scenario)
 
 
+def test_end_is_an_end_if_others_reach_the_next_incarnation_at_the_address():
+    """Another gateway is asked whether a partition refuses connections in the target's stead."""
+
+    async def scenario(gateway, runner):
+        async def reach_next_incarnation(target):
+            if not runner.is_up:
+                await runner.start_again()
+            return True
+
+        gateway.context.guard.ends.is_reached_by_others = reach_next_incarnation
+        assert (await gateway.call(body=ENDING_BODY))[0] == 502
+        await wait_until(lambda: suspect(gateway), 1.0)
+
+    run_scenario(scenario)
+
+
+def test_target_that_others_reach_while_connections_are_refused_has_not_ended():
+    async def scenario(gateway, runner):
+        asked = []
+
+        async def reach(target):
+            asked.append(target)
+            return True
+
+        gateway.context.guard.ends.is_reached_by_others = reach
+        assert (await gateway.call(body=ENDING_BODY))[0] == 502
+        await wait_until(lambda: asked)
+        await asyncio.sleep(0.6)
+        assert suspect(gateway) is None
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("identity", ["r-1", "r-2"])
 def test_new_incarnation_at_the_address_is_an_end(identity):
     """The address is in use again before the first probe, by the same target or another one."""
--- a/traystall/quarantine/ends.py
+++ b/traystall/quarantine/ends.py
@@ -11,6 +11,7 @@
 import logging
 from collections import OrderedDict, deque
 from collections.abc import Awaitable, Callable
+from enum import Enum, auto
 
 import msgspec
 
@@ -56,6 +57,14 @@
     last_response_at: Callable[[], float] = float
 
 
+class _Connection(Enum):
+    """What became of a connection to an address."""
+
+    ACCEPTED = auto()
+    REFUSED = auto()
+    FAILED = auto()
+
+
 class _EndCheck(msgspec.Struct):
     """The runs whose connections to one incarnation broke, each with the time of its break.
 
@@ -201,16 +210,24 @@
 
     async def _probe(self, check) -> bool:
         """Probe the address; return whether it refused a connection twice in a row."""
-        refused = await _refuses_connections(check.target.address)
+        refused = await _try_connection(check.target.address) is _Connection.REFUSED
         has_responded = check.target.last_response_at() > check.since + _IN_TRANSIT_SECONDS
         check.refusals = check.refusals + 1 if refused and not has_responded else 0
         if check.refusals < 2:
             return False
-        # A partition may refuse connections in the target's stead.
-        if await self.is_reached_by_others(check.target):
+        if await self._is_refused_by_partition(check.target):
             check.refusals = 0
         return check.refusals > 1
 
+    async def _is_refused_by_partition(self, target) -> bool:
+        """Return whether a partition refuses connections in the stead of a target that runs.
+
+        Others may also have reached the next incarnation, which then accepts connections here.
+        """
+        if not await self.is_reached_by_others(target):
+            return False
+        return await _try_connection(target.address) is not _Connection.ACCEPTED
+
     def _record_end(self, check, evidence):
         self._clear_disproven(check)
         target, now = check.target, clock.monotonic()
@@ -235,16 +252,16 @@
             self._guard.ended(run, target.pool, target.life, evidence)
 
 
-async def _refuses_connections(address) -> bool:
-    """Return whether IP:PORT refuses connections; a timeout counts as no."""
+async def _try_connection(address) -> _Connection:
+    """Return what becomes of a connection to IP:PORT."""
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(_CONNECT_TIMEOUT_SECONDS):
             _, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
-        return True
+        return _Connection.REFUSED
     except (OSError, TimeoutError, ValueError) as error:
         logger.debug("target not reachable", extra={"address": address, "why": str(error)})
-        return False
+        return _Connection.FAILED
     writer.close()
-    return False
+    return _Connection.ACCEPTED
