A connection that opens as a gateway stops to listen gets a response

Cause: a connection that the kernel has completed and the gateway has not yet accepted is reset with the listening socket; one that is accepted but on which nothing has arrived is closed as idle. In both cases the request may be on its way.

Test: test_request_on_a_connection_that_opens_as_the_notice_ends_gets_a_response, two cases, red before (one closed without a response, one ConnectionResetError). tests/passthrough/test_drain.py and tests/http: 61 passed, twice.

--- a/tests/passthrough/test_drain.py
+++ b/tests/passthrough/test_drain.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 
 import aiohttp
 import pytest
@@ -85,6 +86,36 @@
     assert headers["Connection"] == "close"
 
 
+@pytest.mark.parametrize("is_accepted", [True, False])
+def test_request_on_a_connection_that_opens_as_the_notice_ends_gets_a_response(is_accepted):
+    """Nothing of it has been read when the gateway stops to listen and closes idle connections."""
+
+    async def scenario():
+        target = await Runner("t-1").start()
+        async with EmulatedGateway(table(), [("plain", target)]) as gateway:
+            control = _DrainControl(gateway)
+            draining = asyncio.create_task(control.drain.run(1.0, 5.0))
+            await control.slept.wait()
+            # The kernel completes the connection; the gateway has yet to accept it.
+            caller = socket.create_connection(("127.0.0.1", gateway.server.port))
+            caller.setblocking(False)
+            if is_accepted:
+                await asyncio.sleep(0.02)
+            control.end_notice()
+            await asyncio.sleep(0.02)
+            reader, writer = await asyncio.open_connection(sock=caller)
+            writer.write(b"POST /once/x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+            answer = await asyncio.wait_for(reader.read(), 5)
+            await draining
+            writer.close()
+        await target.stop()
+        return answer, target.runs
+
+    answer, runs = run(scenario())
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert runs == []
+
+
 def test_responses_during_the_notice_close_the_connection():
     status, headers, _ = run(_call_during_drain("/once/x", 0))
     assert status == 200
--- a/traystall/http/connection.py
+++ b/traystall/http/connection.py
@@ -53,6 +53,8 @@
         self._next: deque[Request] = deque()
         self._task: asyncio.Task | None = None
         self._reading_head = False
+        # Whether nothing has been received yet.
+        self.is_new = True
         self._has_failed = False
         self._close_after_response = False
         self._state_since = clock.monotonic()
@@ -138,6 +140,7 @@
 
     def data_received(self, data):
         """Parse received bytes."""
+        self.is_new = False
         if self._has_failed:
             return
         was_in_head = self._reading_head
--- a/traystall/http/server.py
+++ b/traystall/http/server.py
@@ -7,6 +7,8 @@
 
 _SWEEP_SECONDS = 1.0
 _CLOSE_POLL_SECONDS = 0.02
+# Turns of the event loop in which it polls the listening socket and accepts connections.
+_ACCEPT_TURNS = 2
 
 
 class HttpServer:
@@ -33,15 +35,28 @@
 
     async def stop_listening(self) -> None:
         """Accept no new connections; open connections stay open."""
-        if self._server is not None:
-            self._server.close()
+        if self._server is None:
+            return
+        # The kernel resets connections that it has completed and that are not accepted yet.
+        for _ in range(_ACCEPT_TURNS):
+            await asyncio.sleep(0)
+        self._server.close()
 
-    def close_idle(self) -> None:
-        """Close the connections without a request in progress."""
+    def close_idle(self, spares_new: bool = False) -> None:
+        """Close the connections without a request in progress.
+
+        With `spares_new`, those on which nothing has arrived yet stay open.
+        """
         for connection in list(self._connections):
-            if connection.is_idle:
+            if connection.is_idle and not (spares_new and connection.is_new):
                 connection.close()
 
+    async def until_none_is_new(self, seconds: float) -> None:
+        """Return once each connection has received something, or after `seconds`."""
+        deadline = clock.monotonic() + seconds
+        while any(c.is_new for c in self._connections) and clock.monotonic() < deadline:
+            await asyncio.sleep(_CLOSE_POLL_SECONDS)
+
     async def close(self, seconds: float) -> None:
         """Stop the server; connections still open after `seconds` are aborted."""
         await self.stop_listening()
