A connection that opens while another way to the target fails is no error

Cause: asyncio.staggered.staggered_race of Python 3.11. A task that is cancelled as the wait for its predecessor ends goes on all the same (wait_for returns the result), and if it succeeds as well the winner's task meets `assert winner_index is None`. It takes one gateway that refuses a tunnel and another one that opens it a few turns of the event loop later.

--- a/traystall/passthrough/tunnels/dialer.py
+++ b/traystall/passthrough/tunnels/dialer.py
@@ -9,9 +9,6 @@
 in both already, so a tunnel takes no data to another data centre.
 """
 
-from asyncio.staggered import staggered_race
-from collections.abc import Awaitable, Callable
-
 from traystall.core import clock, metrics
 from traystall.core.exceptions import RpcError, RpcRefused
 from traystall.core.logs import decision
@@ -24,6 +21,7 @@
 )
 from traystall.passthrough.tunnels.client import open_tunnel
 from traystall.passthrough.tunnels.paths import TargetPaths
+from traystall.passthrough.tunnels.race import Opener, first_open
 from traystall.quarantine.ends import TargetIncarnation
 from traystall.registry.models import TargetReport
 from traystall.rpc.client import LinkIdentity
@@ -41,8 +39,6 @@
 # With this many broken paths the gateway itself counts as partitioned, not a single target.
 _BROKEN_PATHS_OF_PARTITION = 2
 
-_Opener = Callable[[], Awaitable[TargetConnection]]
-
 
 class TargetDialer:
     """Open connections to targets for one gateway, and keep its `paths` up to date."""
@@ -76,7 +72,7 @@
             # The direct path is tried only after the tunnel has failed.
             openers, head_start = [open_through_gateway, open_directly], None
         try:
-            connection = await _first_open(openers, head_start)
+            connection = await first_open(openers, head_start)
         except ConnectFailed:
             self.paths.on_unreachable(target, clock.monotonic())
             raise
@@ -137,10 +133,10 @@
         if not chosen:
             raise ConnectFailed(f"No other gateway is known to reach {report.address}.")
 
-        def opener(row) -> _Opener:
+        def opener(row) -> Opener:
             return lambda: self._open_through(row, report, observer)
 
-        return await _first_open([opener(row) for row in chosen], _GATEWAY_HEAD_START_SECONDS)
+        return await first_open([opener(row) for row in chosen], _GATEWAY_HEAD_START_SECONDS)
 
     def _tunnel_gateways(self, data_centre) -> list[GatewayRow]:
         """Return the gateways that may tunnel to targets in a data centre."""
@@ -166,30 +162,3 @@
             raise ConnectFailed(f"{report.address} by tunnel: {error}") from error
         self._context.places.on_response(row.data_centre)
         return connection
-
-
-async def _first_open(openers: list[_Opener], head_start: float | None) -> TargetConnection:
-    """Return the first connection that opens; raise the error of the first opener if none does.
-
-    Each opener starts when the one before has failed, or after `head_start` seconds.
-    """
-    opened = []
-
-    def tracked(opener):
-        async def run():
-            connection = await opener()
-            opened.append(connection)
-            return connection
-
-        return run
-
-    winner = None
-    try:
-        winner, _, errors = await staggered_race([tracked(o) for o in openers], head_start)
-    finally:
-        for connection in opened:
-            if connection is not winner:
-                connection.close()
-    if winner is None:
-        raise errors[0]
-    return winner
