A response in a tunnel stays as the target sent it while its request is still being sent

What callers would see: foreign bytes in the middle of an answer of the right length, when a target responds and says that it leaves or wants rest before it has read the whole request.

Cause: a tunnel took the head of a response for the end of the exchange, so the rest of the request's body counted as a new request, and its refusal was written between the target's bytes.

Change: a request begins only after the last response is complete.

--- a/tests/passthrough/test_tunnels.py
+++ b/tests/passthrough/test_tunnels.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import types
 
 import pytest
 
@@ -16,6 +17,7 @@
     connect,
 )
 from traystall.passthrough.tunnels.paths import MAX_GATEWAYS_ASKED, TargetPaths
+from traystall.passthrough.tunnels.service import Tunnel
 from traystall.tables.gateways import GatewayRow
 
 # Gateway 0 is cut off from the targets in these tests; the others reach them.
@@ -238,6 +240,50 @@
     play(tmp_path, scenario)
 
 
+class BytesSent:
+    """The writing side of a connection, as far as a tunnel uses it."""
+
+    def __init__(self):
+        self.data = b""
+
+    def write(self, data):
+        self.data += data
+
+    async def drain(self):
+        pass
+
+
+def test_request_that_is_still_sent_as_its_target_begins_to_leave_puts_nothing_into_the_response():
+    """A target may respond, and say that it leaves, before it has read the whole request."""
+
+    async def scenario():
+        availability = types.SimpleNamespace(is_backing_off=lambda now: False)
+        view = types.SimpleNamespace(is_ready=True, availability=availability)
+        notices = types.SimpleNamespace(
+            on_response_head=lambda *_: setattr(view, "is_ready", False)
+        )
+        context = types.SimpleNamespace(notices=notices, names=HeaderNames())
+        gateway_reader, target_reader = asyncio.StreamReader(), asyncio.StreamReader()
+        to_gateway, to_target = BytesSent(), BytesSent()
+        tunnel = Tunnel(context, view, target_reader, to_target, set())
+        forwarding = asyncio.create_task(tunnel.forward(gateway_reader, to_gateway))
+        parts = [b"POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\n", b"body"]
+        response = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n", b"answer"
+        gateway_reader.feed_data(parts[0])
+        await asyncio.sleep(0.01)
+        target_reader.feed_data(response[0])
+        await asyncio.sleep(0.01)
+        gateway_reader.feed_data(parts[1])
+        await asyncio.sleep(0.01)
+        target_reader.feed_data(response[1])
+        await asyncio.sleep(0.01)
+        forwarding.cancel()
+        assert to_gateway.data == b"".join(response)
+        assert to_target.data == b"".join(parts)
+
+    asyncio.run(scenario())
+
+
 # ---- decisions ----
 
 
--- a/traystall/http/server.py
+++ b/traystall/http/server.py
@@ -54,7 +54,9 @@
     async def until_none_is_new(self, seconds: float) -> None:
         """Return once each connection has received something, or after `seconds`."""
         deadline = clock.monotonic() + seconds
-        while any(c.is_new for c in self._connections) and clock.monotonic() < deadline:
+        while clock.monotonic() < deadline:
+            if not any(connection.is_new for connection in self._connections):
+                return
             await asyncio.sleep(_CLOSE_POLL_SECONDS)
 
     async def close(self, seconds: float) -> None:
--- a/traystall/passthrough/tunnels/service.py
+++ b/traystall/passthrough/tunnels/service.py
@@ -167,11 +167,11 @@
     async def _forward_requests(self, reader):
         try:
             while data := await reader.read(_CHUNK_BYTES):
-                if self._has_head and not _accepts_work(self.view):
+                if self.is_idle and not _accepts_work(self.view):
                     self.refuse()
                 if self._is_refusing:
                     continue
-                if self._has_head:
+                if self.is_idle:
                     self._start_request()
                 self._writer.write(data)
                 await self._writer.drain()
