A lender that is slow is asked again when its late reply has arrived

What callers saw: with places of brittle targets, 503 busy for up to a second after one reply that took too long: the lender is left alone for a second and the second lender has a third of the places.

Cause: a late reply was counted and dropped, and the lender taken for gone all the same.

Change: the second without requests ends as soon as anything arrives from the lender.

Test: test_lender_whose_reply_was_late_is_asked_again_when_it_has_arrived. tests/permits and the limits of targets: 101 passed.

--- a/tests/permits/test_leases.py
+++ b/tests/permits/test_leases.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from traystall.core import clock
 from traystall.core.exceptions import RpcTimeout
 from traystall.permits.exceptions import PermitDenied
 from traystall.permits.leases import Leases
@@ -26,6 +27,7 @@
         self._unread = []
         self.is_slow = True
         self.asked = 0
+        self.last_received_at = float("-inf")
 
     def link(self, address):
         return self
@@ -69,7 +71,7 @@
 async def settle(asker):
     """Let the messages be sent, and forget that the lender was slow."""
     await asyncio.sleep(0)
-    asker._lender_retry_at.clear()
+    asker._lender_failed_at.clear()
     asker.limit(LIFE).closed_until = 0.0
     asker.links.is_slow = False
 
@@ -149,3 +151,22 @@
         await asker.take(LIFE, PLACE, 1, LEASE_SECONDS)
 
     asyncio.run(scenario())
+
+
+def test_lender_whose_reply_was_late_is_asked_again_when_it_has_arrived():
+    """A lender that does not reply is left alone for a second; a slow one can still lend."""
+
+    async def scenario():
+        asker = lending_pair()
+        for is_late_reply_there, asked in ((False, 1), (True, 2)):
+            if is_late_reply_there:
+                asker.links.last_received_at = clock.monotonic()
+            asker.limit(LIFE).closed_until = 0.0
+            with pytest.raises(PermitDenied):
+                await asker.take(LIFE, PLACE, 1, LEASE_SECONDS)
+            asker.limit(LIFE).closed_until = 0.0
+            with pytest.raises(PermitDenied):
+                await asker.take(LIFE, PLACE, 1, LEASE_SECONDS)
+            assert asker.links.asked == asked
+
+    asyncio.run(scenario())
--- a/tests/support/lending.py
+++ b/tests/support/lending.py
@@ -23,6 +23,7 @@
 class _Link:
     def __init__(self, site, own, name):
         self._site, self._own, self._name = site, own, name
+        self.last_received_at = float("-inf")
 
     async def call(self, request, timeout):
         return self._deliver(request)
--- a/traystall/permits/shared_limits.py
+++ b/traystall/permits/shared_limits.py
@@ -67,7 +67,8 @@
         # The subset that has ever had a limit, and since when an incarnation has been unknown here.
         self._announced: dict[str, TargetLimit] = {}
         self._unknown_since: dict[str, float] = {}
-        self._lender_retry_at: dict[str, float] = {}
+        # When the last request to a lender failed.
+        self._lender_failed_at: dict[str, float] = {}
         self._tasks: set[asyncio.Task] = set()
         # Incarnations whose limit changed in a response to this gateway and isn't distributed yet.
         self.undistributed: set[str] = set()
@@ -176,17 +177,25 @@
     async def _ask_lender(self, lender, request) -> PermitReply | None:
         if lender == self.identity:
             return self.grant(request)
-        now = clock.monotonic()
         address = self._address(lender)
-        if self.links is None or not address or now < self._lender_retry_at.get(lender, 0.0):
+        if self.links is None or not address or self._is_silent(lender, address):
             return None
         try:
             return await self._call(address, request)
         except RpcError as error:
-            self._lender_retry_at[lender] = clock.monotonic() + _LENDER_BACKOFF_SECONDS
+            self._lender_failed_at[lender] = clock.monotonic()
             decision("lender-silent", lender=lender, target=request.known.life, why=str(error))
             return None
 
+    def _is_silent(self, lender, address) -> bool:
+        """Return whether a lender failed to reply shortly before, and nothing came from it since.
+
+        A late reply shows that it is slow and not gone.
+        """
+        failed_at = self._lender_failed_at.get(lender, float("-inf"))
+        is_backing_off = clock.monotonic() < failed_at + _LENDER_BACKOFF_SECONDS
+        return is_backing_off and self.links.link(address).last_received_at < failed_at
+
     async def _call(self, address, request) -> PermitReply:
         """Send a request to a lender; raise RpcError if it does not reply in time."""
         return await self.links.link(address).call(request, self.request_timeout_seconds)
--- a/traystall/rpc/client.py
+++ b/traystall/rpc/client.py
@@ -49,6 +49,8 @@
         self._reader_task: asyncio.Task | None = None
         self._connecting = asyncio.Lock()
         self._late_logged_at = float("-inf")
+        # When the last reply arrived, in monotonic seconds.
+        self.last_received_at = float("-inf")
 
     async def call(self, request, timeout: float):
         """Return the peer's reply to `request`; raise an RpcError if there is none."""
@@ -136,6 +138,7 @@
         try:
             while True:
                 frame, size = await read_sized_frame(reader)
+                self.last_received_at = clock.monotonic()
                 if frame.method == Method.HELLO:
                     error = RpcRefused("refused-link", frame.detail or "")
                     logger.error("link refused", extra={"peer": self.address, "why": frame.detail})
