--- a/tests/passthrough/test_brittle_targets.py
+++ b/tests/passthrough/test_brittle_targets.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
+import functools
 
 import pytest
 
 from tests.support.site import entities, play
+from traystall.rpc.gen.wire.ttypes import PermitRequest
 
 SLOTS = 4
 RUN_SECONDS = 0.15
@@ -19,6 +21,9 @@
 GATEWAYS = 9
 LOAD_SECONDS = 10.0
 MIN_SERVED_AT_HALF_LOAD = 0.99
+# Of a load of 1.5, two thirds can be run, and a third of the places is leased.
+MIN_SERVED_WITHOUT_A_LENDER = 0.2
+SILENT_SECONDS = 5.0
 
 
 def max_falls(targets):
@@ -119,6 +124,36 @@
     play_brittle(tmp_path, 3, 0, scenario)
 
 
+@pytest.mark.parametrize("tolerated", [0, 3])
+def test_brittle_targets_do_not_fall_over_while_a_lender_of_their_places_is_silent(
+    tmp_path, tolerated
+):
+    """The lender grants places, but its replies do not arrive; other requests it answers."""
+
+    async def scenario(site, brittle):
+        life = site.gateways[0].gateway_context.board.view(brittle.targets[0].identity).report.life
+        leases = site.gateways[0].gateway_context.leases
+        silent = leases.lender_ranking.lenders(life, "here")[0]
+        for gateway in site.gateways:
+            if gateway.gateway_context.identity == silent:
+                answer = gateway._server._handler
+                gateway._server._handler = functools.partial(answer_but_lend_silently, answer)
+        loading = asyncio.create_task(brittle.send_load(1.5, LOAD_SECONDS))
+        statuses = await loading
+        assert len(brittle.falls) <= max_falls(len(brittle.targets)), brittle.falls
+        # The second lender of each target leases a third of its places.
+        assert statuses.count(200) >= len(statuses) * MIN_SERVED_WITHOUT_A_LENDER
+
+    play_brittle(tmp_path, 3, tolerated, scenario)
+
+
+async def answer_but_lend_silently(answer, request):
+    reply = await answer(request)
+    if isinstance(request, PermitRequest) and request.places:
+        await asyncio.sleep(SILENT_SECONDS)
+    return reply
+
+
 def test_equal_requests_are_not_quarantined_because_brittle_targets_fell_over(tmp_path):
     """A target that falls over for lack of room ends under whatever it runs at that moment."""
 
