A stream is not begun when its deadline would cut it off

Cause: stages may take all the time that a request has, so nothing is left for its response. When the workers are unavailable for most of that time, all requests that waited begin their streams at the end of it, and the deadline cuts them off.

Change: gateways learn how long a route's responses take. The stages end 1.5 times that before the deadline, and a stream that usually takes longer than what is left is refused as not run.

Evidence: tests/passthrough/test_streams_cut_after_late_stages.py, case workers_have_no_lender: red in 2 of 2 runs on the commit before, now 12 of 12 answers complete or 503.

--- a/traystall/passthrough/context.py
+++ b/traystall/passthrough/context.py
@@ -89,6 +89,9 @@
         self._budget_rule = budget_rule
         self._budgets: dict[str, RepeatBudget] = {}
         self._stage_seconds: dict[str, float] = {}
+        # Moving averages of the seconds from the start of a request at its target to the end of its
+        # response, by route.
+        self._response_seconds: dict[str, float] = {}
         # Number of this gateway's requests whose stages are running, by the pool that they need
         # next.
         self.pending_by_pool: Counter[str] = Counter()
@@ -244,6 +247,15 @@
         """Return the expected duration of a stage of a pool, queueing included."""
         return self._stage_seconds.get(pool, self.usual_stage_seconds(pool))
 
+    def record_response_seconds(self, route: str, seconds: float) -> None:
+        """Update the expected duration of a route's responses from a complete one."""
+        known = self._response_seconds.get(route, seconds)
+        self._response_seconds[route] = known + _SAMPLE_WEIGHT * (seconds - known)
+
+    def response_seconds(self, route: str) -> float:
+        """Return the expected seconds until a response is complete; 0 before the first one."""
+        return self._response_seconds.get(route, 0.0)
+
     def usual_stage_seconds(self, pool: str) -> float:
         """Return the duration of a call with a full batch, as the pool's profile declares it."""
         found = self.index.pools.get(pool)
--- a/traystall/passthrough/entry/request.py
+++ b/traystall/passthrough/entry/request.py
@@ -19,6 +19,9 @@
 _PATIENCE_AIM_RATIO = 4.0
 _MIN_PATIENCE_SECONDS = 2.0
 _STAGES_PATIENCE_RATIO = 0.9
+# The stages leave this multiple of the usual response time until the deadline, because a response
+# that the deadline cuts off is worse for the caller than a refusal.
+_RESPONSE_TIME_FACTOR = 1.5
 # Larger results are read in the data centre where they are produced. Batching trades 10 MB of
 # transfer for one second of waiting, so a result of this size is worth 0.1 s.
 _LARGE_RESULT_BYTES = 1_000_000
@@ -126,17 +129,19 @@
         stages = zip(self.route.stages, self.piece_counts, strict=True)
         return any(count * stage.result_bytes > _LARGE_RESULT_BYTES for stage, count in stages)
 
-    def stage_seconds_left(self) -> float:
+    def stage_seconds_left(self, response_seconds: float) -> float:
         """Return the seconds that the stages may still take before their results are useless.
 
-        Callers give up a stream that has not started after a multiple of the route's aim.
+        Callers give up a stream that has not started after a multiple of the route's aim. After the
+        stages, the response usually takes `response_seconds`.
         """
+        remaining = self.remaining() - response_seconds * _RESPONSE_TIME_FACTOR
         patience = (
             max(_MIN_PATIENCE_SECONDS, self.route.aim * _PATIENCE_AIM_RATIO)
             * _STAGES_PATIENCE_RATIO
         )
         patience_left = self.started + patience - clock.monotonic() - self.prompt.seconds()
-        return min(self.remaining(), patience_left) if self.route.aim else self.remaining()
+        return min(remaining, patience_left) if self.route.aim else remaining
 
     def remaining(self) -> float:
         """Return the seconds left until the final response must be sent."""
--- a/traystall/passthrough/exchange/refusals.py
+++ b/traystall/passthrough/exchange/refusals.py
@@ -23,6 +23,8 @@
 # are all rate-limited with the limit used up.
 RESTING = "resting"
 LIMITED = "limited"
+# Refusal code for a request without enough time left.
+TOO_LATE = "too-late"
 # Refusal code for a pool whose brittle targets have no free place.
 BUSY = "busy"
 # Retry-After for requests whose data centres are evacuated. An operator does not restore a data
@@ -42,6 +44,14 @@
         self._refuse_during_backoff(passed)
         self._refuse_beyond_limit(passed)
 
+    def require_time_for_stream(self, passed: PassRequest) -> None:
+        """Raise Refusal for a stream that its deadline would most likely cut off."""
+        usual = self._context.response_seconds(passed.route.name)
+        if passed.route.streamed and passed.remaining() < usual:
+            raise self.refusal(
+                passed, TOO_LATE, "A stream usually takes longer than the time left."
+            )
+
     def max_turn_wait(self, passed: PassRequest) -> float:
         """Return how long a request may wait for a permit of a rate-limited target, in seconds.
 
@@ -83,7 +93,7 @@
     ) -> Refusal:
         """Return a refusal with status 503 if the request has not run, otherwise 502 or 504."""
         if passed.may_have_run:
-            status = 504 if code == "too-late" else 502
+            status = 504 if code == TOO_LATE else 502
             passed.outcome = f"failed-{code}"
             return Refusal(status, code, detail)
         passed.outcome = f"refused-{code}"
--- a/traystall/passthrough/exchange/runner.py
+++ b/traystall/passthrough/exchange/runner.py
@@ -37,7 +37,11 @@
     may_try_again,
     pause_after_refusal,
 )
-from traystall.passthrough.exchange.refusals import MAX_BACKOFF_WAIT_RATIO, Refusals
+from traystall.passthrough.exchange.refusals import (
+    MAX_BACKOFF_WAIT_RATIO,
+    TOO_LATE,
+    Refusals,
+)
 from traystall.passthrough.health.board import TargetView
 from traystall.passthrough.placement import choice
 from traystall.passthrough.stages.cells import balanced_cell, cell_of, fallback_cell
@@ -84,7 +88,7 @@
         except TimeoutError:
             if sink.is_open:
                 return self._abort_stream(passed, sink, "timeout")
-            raise self._refusals.refusal(passed, "too-late", "The deadline passed.") from None
+            raise self._refusals.refusal(passed, TOO_LATE, "The deadline passed.") from None
         except Refusal as refusal:
             if sink.is_open:
                 # The head was sent already, so a refusal would be written into the target's stream.
@@ -206,6 +210,8 @@
         place_deadline = self._place_deadline(passed)
         while True:
             await self._require_admission(passed)
+            if not sink.is_open:
+                self._refusals.require_time_for_stream(passed)
             view = await self._wait_for_target(passed, place_deadline)
             if view is None:
                 return self._finish_failed(passed, sink, failure)
@@ -355,6 +361,7 @@
             return failure
         now = clock.monotonic()
         view.on_success(now - began, now)
+        self._context.record_response_seconds(passed.route.name, now - began)
         passed.outcome = "complete"
         self._context.guard.served(passed.guarded)
         return _to_response(response)
@@ -402,6 +409,8 @@
     async def _relay_events(self, passed, attempt, sink, chain, view):
         """Write the events of a stream to the caller; release the inputs at the first event."""
         sent_at = attempt.sent_at
+        # The rest of a stream that goes on elsewhere is no sample of a whole response.
+        was_open = sink.is_open
         sink.start_run(attempt.head)
         async for chunk in attempt.chunks(self._stream_pause_limit(passed)):
             for event in sink.split(chunk):
@@ -415,6 +424,9 @@
                 await sink.write(event)
         if attempt.head.until_close and sink.partial:
             raise NoAnswer("The stream ended inside an event.", sent=True)
+        if not was_open:
+            seconds = clock.monotonic() - sent_at
+            self._context.record_response_seconds(passed.route.name, seconds)
         passed.outcome = "complete"
         self._context.guard.served(passed.guarded)
         await sink.finish()
--- a/traystall/passthrough/stages/chain.py
+++ b/traystall/passthrough/stages/chain.py
@@ -86,6 +86,7 @@
         inputs = [handle for i in plan.after for handle in self._handles.get(i, ())]
         if plan.after and not inputs:
             raise StageFailed(f"Stage {index} has nothing to read.")
+        response_seconds = self._context.response_seconds(passed.route.name)
         request = StageRequest(
             pool=plan.pool,
             request_id=passed.request_id,
@@ -93,7 +94,7 @@
             pieces=list(range(count)),
             key="" if plan.after else passed.piece_key,
             inputs=inputs,
-            seconds_left=passed.stage_seconds_left(),
+            seconds_left=passed.stage_seconds_left(response_seconds),
             seconds_to_start=self._seconds_to_start(index),
             priority=passed.priority,
             result_bytes=plan.result_bytes,
