Callers of targets for which no gateway lends are refused at once, and told until when

Callers saw: in the seconds after all gateways have started, or both lenders of a target have left, requests to brittle targets waited a fifth of their aim and were refused with a Retry-After of 0.2 to 0.6 s, several times in a row; those that need brittle workers waited for seconds, up to their deadline.

Cause: a gateway lends only after its view of the members has settled (5 s). Askers learned that nobody lends, not until when, and the piece queue counted such targets as ones that are busy for a moment.

A lender that does not reply counts as one that may lend, since it may be lending to others. The same holds for rate limits, whose lenders are the same.

--- a/tests/permits/test_leases.py
+++ b/tests/permits/test_leases.py
@@ -9,8 +9,9 @@
 from traystall.core.exceptions import RpcTimeout
 from traystall.permits.exceptions import PermitDenied
 from traystall.permits.leases import Leases
-from traystall.permits.lenders import LenderRanking
-from traystall.rpc.gen.wire.ttypes import PermitReturn
+from traystall.permits.lenders import SETTLE_SECONDS, LenderRanking
+from traystall.permits.shared_limits import NO_LENDER_BACKOFF_SECONDS
+from traystall.rpc.gen.wire.ttypes import PermitReturn, TargetLimitRecord
 from traystall.tables.gateways import GatewayRow
 
 LIFE, PLACE = "target-1", "here"
@@ -22,7 +23,7 @@
     """Deliver messages to a lender whose replies arrive late; it may read a return first."""
 
     def __init__(self, lender, reads_return_first):
-        self._lender = lender
+        self.lender = lender
         self._reads_return_first = reads_return_first
         self._unread = []
         self.is_slow = True
@@ -38,7 +39,7 @@
             self._unread.append(request)
             reply = None
         else:
-            reply = self._lender.grant(request)
+            reply = self.lender.grant(request)
         await asyncio.sleep(REPLY_SECONDS)
         if self.is_slow:
             raise RpcTimeout("The reply is late.")
@@ -46,9 +47,9 @@
 
     async def send(self, message):
         assert isinstance(message, PermitReturn)
-        self._lender.on_returned(message)
+        self.lender.on_returned(message)
         while self._unread:
-            self._lender.grant(self._unread.pop())
+            self.lender.grant(self._unread.pop())
 
 
 def lending_pair(reads_return_first=False):
@@ -170,3 +171,39 @@
             assert asker.links.asked == asked
 
     asyncio.run(scenario())
+
+
+def settling(leases):
+    """Replace the settled ranking of a gateway by one that has just begun."""
+    leases.lender_ranking = LenderRanking(leases.identity)
+    leases.refresh_lenders()
+
+
+def test_asker_knows_until_when_no_lender_grants():
+    async def scenario():
+        asker = lending_pair()
+        asker.links.is_slow = False
+        settling(asker.links.lender)
+        settling(asker)
+        asker.merge_limits(asker.news([TargetLimitRecord(life=LIFE, per_second=3.0, age=0.0)]))
+        with pytest.raises(PermitDenied) as denied:
+            await asker.take(LIFE, PLACE, 1, LEASE_SECONDS)
+        assert SETTLE_SECONDS - 1.0 < denied.value.wait <= SETTLE_SECONDS
+        assert asker.limit(LIFE).is_unlent(clock.monotonic())
+
+    asyncio.run(scenario())
+
+
+def test_silent_lender_does_not_count_as_one_that_grants_nothing():
+    """It may be lending to other gateways, and to this one in a moment."""
+
+    async def scenario():
+        asker = lending_pair()
+        settling(asker.links.lender)
+        settling(asker)
+        with pytest.raises(PermitDenied) as denied:
+            await asker.take(LIFE, PLACE, 1, LEASE_SECONDS)
+        assert denied.value.wait <= NO_LENDER_BACKOFF_SECONDS
+        assert not asker.limit(LIFE).is_unlent(clock.monotonic())
+
+    asyncio.run(scenario())
--- a/tests/permits/test_ranks.py
+++ b/tests/permits/test_ranks.py
@@ -1,5 +1,6 @@
 """Two gateways never grant a full limit at once, however their views of the membership differ."""
 
+import copy
 import random
 
 import pytest
@@ -11,6 +12,7 @@
 LIFE = "target-1"
 # Maximum delay with which a gateway receives a change of the membership.
 _LAG_SECONDS = 2.0
+_ROUNDING_SECONDS = 1e-6
 
 
 def row(name, data_centre="here", state="serving", lends=True):
@@ -72,6 +74,26 @@
     assert lender_ranking.part(LIFE, "here", now + SETTLE_SECONDS) == FIRST_LENDER_SHARE
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_lender_grants_from_the_moment_it_names(seed):
+    source = random.Random(seed)
+    rows = [row(f"g-{n}") for n in range(4)]
+    lender_ranking = LenderRanking("g-0")
+    now = 0.0
+    for _ in range(10):
+        now += source.uniform(0.1, SETTLE_SECONDS)
+        others = [r for r in rows[1:] if source.random() < 0.6]
+        lender_ranking.note([rows[0], *others], now)
+        settled_at = lender_ranking.settled_at(LIFE, "here")
+        is_lender = "g-0" in lender_ranking.lenders(LIFE, "here")
+        assert (settled_at is not None) == is_lender
+        if is_lender:
+            assert (lender_ranking.part(LIFE, "here", now) > 0) == (now >= settled_at)
+            later = max(now, settled_at) + _ROUNDING_SECONDS
+            # The query for a later time removes views.
+            assert copy.deepcopy(lender_ranking).part(LIFE, "here", later) > 0
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_differing_views_never_give_two_first_lenders(seed):
     """Gateways start and stop, and each of the others learns of it after its own delay."""
--- a/traystall/passthrough/exchange/refusals.py
+++ b/traystall/passthrough/exchange/refusals.py
@@ -78,8 +78,10 @@
         The cause is a backoff period, a used-up rate limit or brittle targets without a place.
         """
         if self._context.board.is_brittle(passed.pool, passed.places):
-            detail = f"All places at the brittle targets of '{passed.pool}' are taken."
-            return self.refusal(passed, BUSY, detail)
+            detail = f"No brittle target of '{passed.pool}' has a place for it."
+            retry_after = self._context.random.uniform(*_RETRY_AFTER_RANGE_SECONDS)
+            retry_after = max(retry_after, self._context.spread_retry_after(seconds))
+            return self.refusal(passed, BUSY, detail, retry_after)
         turn = self._context.permit_interval(passed.pool, passed.places)
         if not turn:
             detail = f"All targets of '{passed.pool}' have asked for rest."
--- a/traystall/passthrough/health/board.py
+++ b/traystall/passthrough/health/board.py
@@ -91,6 +91,10 @@
         """Return whether other gateways use up its rate limit, or its places, for the moment."""
         return self.limit.is_closed(now) or self.brittle.is_closed(now)
 
+    def is_unlent(self, now: float) -> bool:
+        """Return whether it is limited or brittle and no gateway grants permits or places now."""
+        return self.limit.is_unlent(now) or self.brittle.is_unlent(now)
+
     def is_covered(self, permit: Permit | None) -> bool:
         """Return whether the target's rate limit allows a request with `permit` now."""
         if not self.limit.is_limited:
@@ -99,7 +103,7 @@
 
     def blocked_until(self) -> float:
         """Return when the backoff period and the waits for its limits are all over."""
-        closed = [limit.closed_until for limit in (self.limit, self.brittle) if limit.is_limited]
+        closed = [limit.opens_at for limit in (self.limit, self.brittle) if limit.is_limited]
         return max([self.availability.backoff_until, *closed])
 
     @property
@@ -340,9 +344,10 @@
     ) -> list[TargetView]:
         """Return the targets of a pool that may get work now; suspected ones only if all are.
 
-        Targets outside the data centres `places`, in evacuated data centres or in a backoff period
-        are always excluded, even if all others are suspected of a failure. Targets whose rate limit
-        is used up by other gateways for the moment are excluded unless `include_closed` is set.
+        Targets outside the data centres `places`, in evacuated data centres, in a backoff period or
+        without a lender are always excluded, even if all others are suspected of a failure. Targets
+        whose rate limit is used up by other gateways for the moment are excluded unless
+        `include_closed` is set.
 
         The remaining targets are narrowed down to those without recent failures, then to reachable
         data centres, then to targets that report. If a step leaves none, the step before counts.
@@ -352,6 +357,7 @@
             for view in self.eligible(name, places)
             if not view.is_replaced
             and view.availability.may_send_work(now)
+            and not view.is_unlent(now)
             and (include_closed or not view.is_closed(now))
         ]
         healthy = [view for view in ready if now >= view.avoid_until]
--- a/traystall/passthrough/stages/piece_queue.py
+++ b/traystall/passthrough/stages/piece_queue.py
@@ -34,7 +34,7 @@
 _REDISPATCH_SECONDS = 0.02
 # The reason of pieces whose request has ended too many targets.
 TARGET_ENDED = "ended"
-# The reason of pieces whose targets have all requested a backoff that ends after the deadline.
+# The reason of pieces whose targets are all unavailable until after the deadline.
 RESTING = "resting"
 # A queue younger than this may have taken over from another gateway, whose calls still occupy the
 # targets.
@@ -205,9 +205,13 @@
         return next_call_time(self._last_began, usual, workers, waiting, profile.batch) - now
 
     def _fail_beyond_backoff(self, now):
-        """Fail stage calls early if the backoff of all their targets ends after the deadline."""
+        """Fail stage calls early if all their targets are unavailable until after the deadline.
+
+        They are in a backoff period, or no gateway grants permits or places for them.
+        """
         if not any(
-            view.availability.is_backing_off(now) for view in self._context.board.pool(self._pool)
+            view.availability.is_backing_off(now) or view.is_unlent(now)
+            for view in self._context.board.pool(self._pool)
         ):
             return
         places = {job.places for job in self._waiting}
--- a/traystall/permits/leases.py
+++ b/traystall/permits/leases.py
@@ -92,13 +92,13 @@
         if all are taken or no lender replies.
         """
         limit = self.limit(life)
-        if clock.monotonic() >= limit.closed_until:
+        if clock.monotonic() >= limit.opens_at:
             lease = await self._ask_lenders(life, data_centre, places, seconds)
             if lease is not None:
                 return lease
         lease = await self._wait_for_place(life, seconds)
         if lease is None:
-            raise PermitDenied(max(0.0, limit.closed_until - clock.monotonic()))
+            raise PermitDenied(max(0.0, limit.opens_at - clock.monotonic()))
         return lease
 
     async def _ask_lenders(self, life, data_centre, places, seconds) -> Lease | None:
@@ -113,15 +113,19 @@
             seconds=seconds + _HAND_ON_SECONDS,
         )
         until = clock.monotonic() + request.seconds
+        replies = []
         for lender in self.lender_ranking.lenders(life, data_centre):
             reply = await self._ask_lender(lender, request)
             if reply is None or not reply.lends:
+                replies.append(reply)
                 continue
+            limit.unlent_until = float("-inf")
             if reply.granted:
                 return Lease(life, request.lease, lender, until)
             wait = _RETRY_SECONDS * self._random.uniform(*_RETRY_SPREAD)
             self._defer_requests_for(limit, wait, is_spare=False)
             return None
+        self._record_unlent(limit, replies)
         self._defer_requests_for(limit, NO_LENDER_BACKOFF_SECONDS, is_spare=False)
         return None
 
@@ -130,7 +134,7 @@
         waiter = _Waiter(seconds, asyncio.get_running_loop().create_future())
         waiters = self._waiters.setdefault(life, [])
         waiters.append(waiter)
-        wait = min(self.limit(life).closed_until - clock.monotonic(), _RETRY_SECONDS)
+        wait = min(self.limit(life).opens_at - clock.monotonic(), _RETRY_SECONDS)
         try:
             await asyncio.wait((waiter.place,), timeout=wait)
         except asyncio.CancelledError:
@@ -168,17 +172,16 @@
         now = clock.monotonic()
         life = request.known.life
         self._merge_record(request.known, request.sender)
-        known = self.record(life)
         data_centre = request.data_centre or ""
         part = self.lender_ranking.part(life, data_centre, now) if self.may_grant else 0.0
         if not part:
-            return PermitReply(lends=False, granted=False, known=known)
+            return self._refusal(life, data_centre)
         places = request.places
         if part < FIRST_LENDER_SHARE:
             places = places_of_second_lender(places)
         table = self._tables.setdefault(life, PlaceTable())
         granted = table.lease(request.lease, places, request.seconds or 0.0, now)
-        return PermitReply(lends=True, granted=granted, known=known)
+        return PermitReply(lends=True, granted=granted, known=self.record(life))
 
     def on_returned(self, message: PermitReturn) -> None:
         """Handle the end of a lease, which may arrive before the request for it."""
--- a/traystall/permits/lenders.py
+++ b/traystall/permits/lenders.py
@@ -73,6 +73,18 @@
             return FIRST_LENDER_SHARE
         return SECOND_LENDER_SHARE if all(self._own in ranking for ranking in rankings) else 0.0
 
+    def settled_at(self, life: str, data_centre: str) -> float | None:
+        """Return since when this gateway grants a share, or from when on if the members stay.
+
+        Return None if it is no lender in the current view.
+        """
+        since = None
+        for view in reversed(self._views):
+            if self._own not in view.lenders_for(life, data_centre):
+                break
+            since = view.since
+        return None if since is None else since + self._settle_seconds
+
     def _remove_old_views(self, now):
         """Remove views that were replaced before the last `settle_seconds`."""
         while len(self._views) > 1 and self._views[1].since <= now - self._settle_seconds:
--- a/traystall/permits/permits.py
+++ b/traystall/permits/permits.py
@@ -78,7 +78,7 @@
         """
         limit = self.limit(life)
         now = clock.monotonic()
-        closed_until = limit.spare_closed_until if is_spare else limit.closed_until
+        closed_until = limit.spare_closed_until if is_spare else limit.opens_at
         if now < closed_until:
             raise PermitDenied(closed_until - now)
         request = PermitRequest(
@@ -88,15 +88,19 @@
             patience=patience,
             spare=is_spare,
         )
+        replies = []
         for lender in self.lender_ranking.lenders(life, data_centre):
             reply = await self._ask_lender(lender, request)
             if reply is None or not reply.lends:
+                replies.append(reply)
                 continue
+            limit.unlent_until = float("-inf")
             self._merge_record(reply.known, lender)
             if reply.granted:
                 return self._permit_from(limit, lender, reply, now)
             self._defer_requests(limit, reply, patience, is_spare)
             raise PermitDenied(reply.wait)
+        self._record_unlent(limit, replies)
         self._defer_requests_for(limit, NO_LENDER_BACKOFF_SECONDS, is_spare)
         raise PermitDenied(NO_LENDER_BACKOFF_SECONDS)
 
@@ -145,14 +149,11 @@
         now = clock.monotonic()
         life = request.known.life
         self._merge_record(request.known, request.sender)
-        part = (
-            self.lender_ranking.part(life, request.data_centre or "", now)
-            if self.may_grant
-            else 0.0
-        )
+        data_centre = request.data_centre or ""
+        part = self.lender_ranking.part(life, data_centre, now) if self.may_grant else 0.0
         limit = self.limit(life)
         if not part:
-            return PermitReply(lends=False, granted=False, known=self.record(life))
+            return self._refusal(life, data_centre)
         if not limit.is_limited:
             known = self.record(life)
             return PermitReply(lends=True, granted=True, wait=0.0, spread=0.0, known=known)
--- a/traystall/permits/shared_limits.py
+++ b/traystall/permits/shared_limits.py
@@ -12,7 +12,7 @@
 from traystall.core import clock, metrics
 from traystall.core.exceptions import RpcError
 from traystall.core.logs import decision
-from traystall.permits.lenders import LenderRanking
+from traystall.permits.lenders import SETTLE_SECONDS, LenderRanking
 from traystall.rpc.client import LinkPool
 from traystall.rpc.gen.wire.ttypes import (
     LimitNews,
@@ -200,6 +200,21 @@
         """Send a request to a lender; raise RpcError if it does not reply in time."""
         return await self.links.link(address).call(request, self.request_timeout_seconds)
 
+    def _refusal(self, life, data_centre) -> PermitReply:
+        """Return the reply of a gateway that does not lend now; `wait` tells when it will."""
+        settled_at = self.lender_ranking.settled_at(life, data_centre) if self.may_grant else None
+        wait = None if settled_at is None else max(0.0, settled_at - clock.monotonic())
+        return PermitReply(lends=False, granted=False, wait=wait, known=self.record(life))
+
+    def _record_unlent(self, limit, replies: list[PermitReply | None]) -> None:
+        """Record until when no lender grants, if all of them have said from when on they will.
+
+        A lender that did not reply may be lending to others.
+        """
+        waits = [reply.wait if reply is not None else None for reply in replies]
+        if waits and None not in waits:
+            limit.unlent_until = clock.monotonic() + min(*waits, SETTLE_SECONDS)
+
     def _defer_requests_for(self, limit, seconds, is_spare):
         until = clock.monotonic() + seconds
         if is_spare:
--- a/traystall/tables/target_limits.py
+++ b/traystall/tables/target_limits.py
@@ -29,6 +29,8 @@
     # No permit is requested before these times: for work and for optional requests.
     closed_until: float = float("-inf")
     spare_closed_until: float = float("-inf")
+    # No gateway grants permits before this time, as all lenders of the target have said.
+    unlent_until: float = float("-inf")
 
     @property
     def is_limited(self) -> bool:
@@ -40,9 +42,18 @@
         """Return whether the target has or had a limit."""
         return self.is_limited or self.ended_at > float("-inf")
 
+    @property
+    def opens_at(self) -> float:
+        """Return when a permit may be available again, if there is a limit."""
+        return max(self.closed_until, self.unlent_until)
+
     def is_closed(self, now: float) -> bool:
         """Return whether no work may be sent now because no permit is available."""
-        return self.is_limited and now < self.closed_until
+        return self.is_limited and now < self.opens_at
+
+    def is_unlent(self, now: float) -> bool:
+        """Return whether no gateway grants permits now."""
+        return self.is_limited and now < self.unlent_until
 
     def name(self, per_second: float, sent_at: float, source: str, now: float) -> bool:
         """Apply a response that announces a limit; return whether the limit changed.
@@ -70,14 +81,14 @@
             return False
         self.per_second = None
         self.ended_at = self.first_ended_at = sent_at
-        self.closed_until = self.spare_closed_until = float("-inf")
+        self.closed_until = self.spare_closed_until = self.unlent_until = float("-inf")
         return True
 
     def forget(self) -> None:
         """Reset the state for a new incarnation, which hasn't announced anything yet."""
         self.per_second = None
         self.sent_at = self.ended_at = self.first_ended_at = float("-inf")
-        self.closed_until = self.spare_closed_until = float("-inf")
+        self.closed_until = self.spare_closed_until = self.unlent_until = float("-inf")
 
     def confirm_end(self, sent_at: float) -> bool:
         """Apply a further response without a limit; return whether to distribute it."""
--- a/traystall/tables/targets.py
+++ b/traystall/tables/targets.py
@@ -83,7 +83,7 @@
 
     def blocked_until(self) -> float:
         """Return when the target's backoff period and limit allow requests again."""
-        closed = self.limit.closed_until if self.limit.is_limited else float("-inf")
+        closed = self.limit.opens_at if self.limit.is_limited else float("-inf")
         return max(self.availability.backoff_until, closed)
 
     @property
