What slow streams took does not refuse the streams after them for good

Callers would have seen: after a time in which streams took nearly all of a request's time, each later stream of that gateway refused as `too-late`, although targets are fast again.

Cause: the usual response time is learned from complete responses alone. Once it refuses all requests, nothing corrects it.

Change: it halves in 5 s without a response, and the stages leave at most two fifths of a request's time.

Evidence: the new test in tests/passthrough/test_streams_cut_after_late_stages.py, red before (not served within 10 s), green now.

--- a/tests/passthrough/test_streams_cut_after_late_stages.py
+++ b/tests/passthrough/test_streams_cut_after_late_stages.py
@@ -19,13 +19,18 @@
 UNAVAILABLE_SECONDS = 4.5
 CALLS = 12
 CALL_INTERVAL_SECONDS = 0.05
+# A stream that nearly takes the route's timeout.
+SLOW_STREAM_SECONDS = 4.6
+# Each of two stages then takes this long, so that less than that is left for the stream.
+SLOW_CALL_SECONDS = 0.25
+MAX_RECOVERY_SECONDS = 10.0
 
 
-async def start_targets(site):
+async def start_targets(site, stream_seconds=STREAM_SECONDS):
     """Start engines and workers, and serve each gateway's callers once."""
     for _ in range(2):
         engine = await site.add("engine", events=EVENTS)
-        engine.event_seconds = STREAM_SECONDS / EVENTS
+        engine.event_seconds = stream_seconds / EVENTS
     workers = [await site.add("batches", batch=4) for _ in range(2)]
     await site.group.apply_entities("a", 1, entities())
     async with asyncio.timeout(20):
@@ -97,3 +102,21 @@
         assert {status for status, _ in answers} <= {200, 503}, answers
 
     play(tmp_path, scenario)
+
+
+def test_streams_are_served_again_after_a_time_in_which_they_were_slow(tmp_path):
+    """What slow streams took must not refuse all later ones, which would be the only evidence."""
+
+    async def scenario(site):
+        workers = await start_targets(site, SLOW_STREAM_SECONDS)
+        engines = [runner for runner in site.runners if runner.events]
+        for engine in engines:
+            engine.event_seconds = 0.0
+        for worker in workers:
+            worker.call_seconds = SLOW_CALL_SECONDS
+        async with asyncio.timeout(MAX_RECOVERY_SECONDS):
+            for number in range(len(site.gateways)):
+                while await call(site, number) != (200, True):
+                    await asyncio.sleep(0.1)
+
+    play(tmp_path, scenario)
--- a/traystall/passthrough/context.py
+++ b/traystall/passthrough/context.py
@@ -43,6 +43,8 @@
 _MAX_PERMIT_INTERVAL_SECONDS = 2.0
 # Weight of the newest sample in the moving averages of durations.
 _SAMPLE_WEIGHT = 0.15
+# The expected duration of a route's responses halves in this time without one.
+_RESPONSE_HALF_LIFE_SECONDS = 5.0
 
 
 class PassContext:
@@ -89,9 +91,9 @@
         self._budget_rule = budget_rule
         self._budgets: dict[str, RepeatBudget] = {}
         self._stage_seconds: dict[str, float] = {}
-        # Moving averages of the seconds from the start of a request at its target to the end of its
-        # response, by route.
-        self._response_seconds: dict[str, float] = {}
+        # By route, the moving average of the seconds from the start of a request at its target to
+        # the end of its response, and when the last one ended.
+        self._response_seconds: dict[str, tuple[float, float]] = {}
         # Number of this gateway's requests whose stages are running, by the pool that they need
         # next.
         self.pending_by_pool: Counter[str] = Counter()
@@ -249,12 +251,18 @@
 
     def record_response_seconds(self, route: str, seconds: float) -> None:
         """Update the expected duration of a route's responses from a complete one."""
-        known = self._response_seconds.get(route, seconds)
-        self._response_seconds[route] = known + _SAMPLE_WEIGHT * (seconds - known)
+        known, _ = self._response_seconds.get(route, (seconds, 0.0))
+        mean = known + _SAMPLE_WEIGHT * (seconds - known)
+        self._response_seconds[route] = (mean, clock.monotonic())
 
     def response_seconds(self, route: str) -> float:
-        """Return the expected seconds until a response is complete; 0 before the first one."""
-        return self._response_seconds.get(route, 0.0)
+        """Return the expected seconds until a response is complete.
+
+        The value decays to 0 without new responses: requests are refused by it, and a value that
+        refuses all of them would never be corrected.
+        """
+        mean, ended_at = self._response_seconds.get(route, (0.0, 0.0))
+        return mean * 0.5 ** ((clock.monotonic() - ended_at) / _RESPONSE_HALF_LIFE_SECONDS)
 
     def usual_stage_seconds(self, pool: str) -> float:
         """Return the duration of a call with a full batch, as the pool's profile declares it."""
--- a/traystall/passthrough/entry/request.py
+++ b/traystall/passthrough/entry/request.py
@@ -20,8 +20,10 @@
 _MIN_PATIENCE_SECONDS = 2.0
 _STAGES_PATIENCE_RATIO = 0.9
 # The stages leave this multiple of the usual response time until the deadline, because a response
-# that the deadline cuts off is worse for the caller than a refusal.
+# that the deadline cuts off is worse for the caller than a refusal. They leave at most this ratio
+# of the request's whole time.
 _RESPONSE_TIME_FACTOR = 1.5
+_MAX_RESPONSE_TIME_RATIO = 0.4
 # Larger results are read in the data centre where they are produced. Batching trades 10 MB of
 # transfer for one second of waiting, so a result of this size is worth 0.1 s.
 _LARGE_RESULT_BYTES = 1_000_000
@@ -135,7 +137,11 @@
         Callers give up a stream that has not started after a multiple of the route's aim. After the
         stages, the response usually takes `response_seconds`.
         """
-        remaining = self.remaining() - response_seconds * _RESPONSE_TIME_FACTOR
+        reserved = min(
+            response_seconds * _RESPONSE_TIME_FACTOR,
+            (self.deadline - self.started) * _MAX_RESPONSE_TIME_RATIO,
+        )
+        remaining = self.remaining() - reserved
         patience = (
             max(_MIN_PATIENCE_SECONDS, self.route.aim * _PATIENCE_AIM_RATIO)
             * _STAGES_PATIENCE_RATIO
