--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -19,6 +19,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -47,6 +48,7 @@
 }
 _PASSED_ENVIRONMENT = ("PATH", "HOME", "LANG")
 _STOP_SECONDS = 5.0
+_COULD_NOT_RUN = 2
 
 
 class CannotRun(Exception):
@@ -105,12 +107,12 @@
 
     def __init__(self, record: Record):
         self.record = record
-        self.folder = Path(tempfile.mkdtemp(prefix="traystall-review-"))
+        commands = _commands()
         self._net = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
         self.control_port, self.front_port, self.ready_port, self.first_port = _free_ports(
             self._net
         )
-        commands = _commands()
+        self.folder = Path(tempfile.mkdtemp(prefix="traystall-review-"))
         self.controls = [
             self._machine(f"core-{zone}", "control", 10 + index, zone, commands["control"])
             for index, zone in enumerate(ZONES)
@@ -502,25 +504,32 @@
 
     The status is 0 if the rule held, 1 if it was broken, 2 if the case could not run.
     """
+    # A run that is ended from outside ends its processes too.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(_COULD_NOT_RUN))
     record = Record(folder)
     try:
-        deployment = Deployment(record)
-    except CannotRun as error:
-        print(f"could not run: {error}")
-        sys.exit(2)
-    try:
-        held = asyncio.run(case(deployment))
+        held = _run(record, case)
     except CannotRun as error:
         record.write("could-not-run", why=error)
         print(f"could not run: {error}")
-        sys.exit(2)
-    finally:
-        deployment.stop()
+        sys.exit(_COULD_NOT_RUN)
+    except Exception:
+        # An error of the script itself says nothing about the rule.
+        traceback.print_exc()
+        sys.exit(_COULD_NOT_RUN)
     print("the rule held" if held else "the rule was broken")
     record.write("verdict", held=held)
     sys.exit(0 if held else 1)
 
 
+def _run(record: Record, case) -> bool:
+    deployment = Deployment(record)
+    try:
+        return asyncio.run(case(deployment))
+    finally:
+        deployment.stop()
+
+
 def has_trouble() -> bool:
     """Return whether the case applies its disruption."""
     return os.environ.get("TROUBLE", "1") != "0"
