--- a/tests/consensus/test_snapshot_transfer.py
+++ b/tests/consensus/test_snapshot_transfer.py
@@ -22,7 +22,7 @@
     return leader, 5.0
 
 
-def transfer(lost=lambda count: False):
+def transfer(lost=lambda count: False, on_step=lambda leader, now: None):
     """Return how many chunks a leader sends until an empty follower has its snapshot."""
     leader, now = leader_with_snapshot()
     follower = make_replica("c/1", now=-10.0)
@@ -32,6 +32,7 @@
     for _ in range(20_000):
         now += STEP_SECONDS
         leader.tick(now)
+        on_step(leader, now)
         acknowledge(leader, "b/1", leader.log.last_index, now, leader._round)
         for replica, to in ((leader, follower), (follower, leader)):
             ready = replica.take_ready()
@@ -57,3 +58,36 @@
 
 def test_lost_chunks_and_replies_are_resent():
     assert transfer(lost=lambda count: count % 5 == 2) <= 10 * CHUNKS
+
+
+def test_newer_snapshots_do_not_restart_a_transfer():
+    """Each new snapshot began the transfer anew, so a follower on a slow link never caught up."""
+    step = 0
+
+    def compact_often(leader, now):
+        nonlocal step
+        step += 1
+        if step % 100 == 0:
+            leader.propose([b"change"], now)
+            acknowledge(leader, "b/1", leader.log.last_index, now, leader._round)
+            leader.applied_index = leader.commit_index
+            leader.compact(
+                leader.commit_index, bytes(CHUNKS * SNAPSHOT_CHUNK_BYTES), retained_bytes=1024
+            )
+
+    assert transfer(on_step=compact_often) <= 6 * CHUNKS
+
+
+def test_follower_that_is_one_entry_behind_a_snapshot_gets_the_entry():
+    """Snapshots that come often would be sent whole to each follower that is slightly behind."""
+    leader = elect(make_replica("a/1"), 5.0)
+    acknowledge(leader, "b/1", leader.log.last_index, 5.0)
+    acknowledge(leader, "c/1", leader.log.last_index, 5.0)
+    leader.propose([b"change"], 5.0)
+    acknowledge(leader, "b/1", leader.log.last_index, 5.0)
+    leader.take_ready()
+    leader.compact(leader.commit_index, bytes(CHUNKS * SNAPSHOT_CHUNK_BYTES), retained_bytes=1024)
+    leader.progress["c/1"].reject(leader.log.last_index - 1, leader.log.last_index)
+    leader._send_append("c/1", 5.0)
+    (message,) = leader.take_ready().messages
+    assert [entry.command for entry in message.entries] == [b"change"]
--- a/tests/storage/test_failing_disk.py
+++ b/tests/storage/test_failing_disk.py
@@ -1,5 +1,6 @@
 """Full, failing and torn writes: synced data stays, and pending writes become durable later."""
 
+import contextlib
 import random
 
 import pytest
@@ -129,3 +130,49 @@
     folder.close()
     recovered = recover(tmp_path)
     assert synced <= recovered.log.last_index <= last + 3
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_writes_added_while_the_disk_fails_become_durable(tmp_path, monkeypatch, seed):
+    """Guards against a snapshot that replaces pending writes and loses what they leave."""
+    rng = random.Random(seed)
+    folder, _ = open_folder(tmp_path)
+    disk = FailingDisk(monkeypatch, rng)
+    model = []
+    for _ in range(20):
+        disk.failing = True
+        step = lambda writes: folder.write(writes)  # noqa: E731, PLW0108
+        for _ in range(rng.randint(1, 5)):
+            with contextlib.suppress(DiskFailed):
+                step(_random_writes(rng, model))
+            step = folder.retry
+        disk.failing = False
+        folder.retry()
+        assert not folder._pending
+    folder.close()
+    recovered = recover(tmp_path)
+    assert [(i, recovered.log.term_at(i)) for i in indexes(recovered)] == model
+
+
+def test_disk_full_of_log_takes_a_snapshot_and_empties(tmp_path, monkeypatch):
+    """Entries that did not fit were tried for good before the snapshot that makes room."""
+    folder, _ = open_folder(tmp_path)
+    capacity = 4096 + folder.used_bytes
+    write = folder_module.os.fsync
+
+    def limited_sync(descriptor):
+        if sum(path.stat().st_size for path in tmp_path.iterdir()) > capacity:
+            raise OSError(28, "No space left on device")
+        write(descriptor)
+
+    monkeypatch.setattr(folder_module.os, "fsync", limited_sync)
+    folder.write([AppendLog([entry(1, 1, bytes(3000))])])
+    with pytest.raises(DiskFailed):
+        folder.write([AppendLog([entry(2, 1, bytes(3000))])])
+    folder.retry([SaveSnapshot(Snapshot(2, 1, MEMBERS, b"state"), keep_entries=True)])
+    folder.write([AppendLog([entry(3, 1, bytes(3000))])])
+    assert folder.used_bytes == sum(path.stat().st_size for path in tmp_path.iterdir())
+    folder.close()
+    recovered = recover(tmp_path)
+    assert recovered.log.snapshot_index == 2
+    assert indexes(recovered) == [3]
--- a/tests/support/control_group.py
+++ b/tests/support/control_group.py
@@ -36,8 +36,10 @@
 class ControlGroup:
     """Run control daemons by name; `founders` form the group, other daemons join it."""
 
-    def __init__(self, root, founders=("a", "b", "c")):
+    def __init__(self, root, founders=("a", "b", "c"), flags=None):
         self._root = root
+        # Settings of all daemons that differ from the usual ones.
+        self._flags = flags or {}
         self.addresses = {name: free_address() for name in founders}
         # Listening addresses of daemons that advertise the address of a relay instead.
         self.listening = {}
@@ -59,6 +61,7 @@
             "data-folder": self._root / name,
             "join": ",".join(self._join_addresses(name)),
             **_FAST_SETTINGS,
+            **self._flags,
         }
         if founding:
             pairs = [f"{founder}={self.addresses[founder]}" for founder in self._founders]
--- a/traystall/catalog/state.py
+++ b/traystall/catalog/state.py
@@ -17,8 +17,9 @@
 from traystall.core.exceptions import DeltaMismatch
 from traystall.core.serialization import pack, unpack
 
-# Number of deltas kept in memory for gateways that are a few revisions behind.
+# Limits of the deltas kept in memory for gateways that are a few revisions behind.
 MAX_KEPT_DELTAS = 64
+MAX_KEPT_DELTA_BYTES = 4 * 1024 * 1024
 
 
 class CatalogSnapshot(msgspec.Struct, frozen=True):
@@ -37,6 +38,7 @@
         self.number = 0
         self._history: dict[int, Revision] = {}
         self._deltas: dict[bytes, Delta] = {}
+        self._kept_bytes = 0
 
     def lookup(self, number: int, digest: bytes) -> ApplyResult | None:
         """Return the result of an apply that is already decided, or None."""
@@ -108,6 +110,7 @@
         self._history = {revision.number: revision for revision in held.history}
         self.number = max(self._history, default=0)
         self._deltas = {}
+        self._kept_bytes = 0
 
     def _accept(self, command):
         try:
@@ -125,9 +128,19 @@
     def _keep_delta(self, delta):
         if delta.base == delta.result:
             return
+        # Replaced and not updated in place, so that the order of the keys stays that of the log.
+        self._kept_bytes -= _delta_bytes(self._deltas.pop(delta.base, None))
         self._deltas[delta.base] = delta
-        while len(self._deltas) > MAX_KEPT_DELTAS:
-            del self._deltas[next(iter(self._deltas))]
+        self._kept_bytes += _delta_bytes(delta)
+        while len(self._deltas) > MAX_KEPT_DELTAS or self._kept_bytes > MAX_KEPT_DELTA_BYTES:
+            self._kept_bytes -= _delta_bytes(self._deltas.pop(next(iter(self._deltas))))
+
+
+def _delta_bytes(delta) -> int:
+    if delta is None:
+        return 0
+    puts = sum(len(key) + len(value) for key, value in delta.puts.items())
+    return puts + sum(map(len, delta.deletes))
 
 
 def _merge(puts, deletes, delta):
--- a/traystall/consensus/progress.py
+++ b/traystall/consensus/progress.py
@@ -42,6 +42,8 @@
         if match_index <= self.match_index:
             return False
         self.match_index = match_index
+        if self.snapshot is not None and self.snapshot.key[0] <= match_index:
+            self.snapshot = None
         self._set_in_flight([sent for sent in self.in_flight if sent[0] > match_index])
         self.next_index = max(self.next_index, match_index + 1)
         return True
--- a/traystall/consensus/replica.py
+++ b/traystall/consensus/replica.py
@@ -238,6 +238,11 @@
         self._handover_deadline = now + self.timing.election_max
         self._continue_handover()
 
+    @property
+    def synced_index(self) -> int:
+        """Return the index up to which the log is durable here."""
+        return self._synced_index
+
     def on_synced(self, term: int, index: int) -> None:
         """Record that the entry (term, index) and all before it are durable here."""
         if self.log.term_at(index) != term:
@@ -246,8 +251,11 @@
         if self.is_leader:
             self._advance_commit()
 
-    def compact(self, index: int, data: bytes) -> None:
-        """Replace the applied log up to `index` by a snapshot of the state machine."""
+    def compact(self, index: int, data: bytes, retained_bytes: int = 0) -> None:
+        """Replace the applied log up to `index` by a snapshot of the state machine.
+
+        Entries of `retained_bytes` in total stay in memory for followers that are behind.
+        """
         if index <= self.log.snapshot_index or index > self.applied_index:
             return
         snapshot = Snapshot(
@@ -256,7 +264,7 @@
             members=self.log.members_at(index),
             data=data,
         )
-        self.log.compact(snapshot)
+        self.log.compact(snapshot, retained_bytes)
         self._ready.writes.append(SaveSnapshot(snapshot, keep_entries=True))
 
     # ---- roles ----
--- a/traystall/consensus/replication.py
+++ b/traystall/consensus/replication.py
@@ -46,7 +46,7 @@
 
     def _send_append(self, peer, now, heartbeat=False):
         progress = self.progress[peer]
-        if progress.next_index <= self.log.snapshot_index:
+        if progress.next_index < self.log.first_index:
             self._send_snapshot(peer, now)
             return
         entries = self._next_entries(progress)
--- a/traystall/consensus/snapshots.py
+++ b/traystall/consensus/snapshots.py
@@ -17,10 +17,11 @@
 
     def _send_snapshot(self, peer, now):
         progress = self.progress[peer]
-        snapshot = self.log.snapshot
-        key = (snapshot.index, snapshot.term)
-        if progress.snapshot is None or progress.snapshot.key != key:
-            progress.snapshot = Transfer(key, wait=2 * self.timing.heartbeat)
+        if not self._may_continue_transfer(progress.snapshot):
+            newest = self.log.snapshot
+            key = (newest.index, newest.term)
+            progress.snapshot = Transfer(key, newest, wait=2 * self.timing.heartbeat)
+        snapshot = progress.snapshot.snapshot
         if progress.snapshot.awaits_reply(now):
             return
         offset = progress.snapshot.offset
@@ -39,6 +40,13 @@
             )
         )
 
+    def _may_continue_transfer(self, transfer) -> bool:
+        """Return whether the log still holds the entries that follow the snapshot being sent.
+
+        A newer snapshot then doesn't restart the transfer: on a slow link it would never end.
+        """
+        return transfer is not None and transfer.key[0] + 1 >= self.log.first_index
+
     def _on_snapshot_chunk(self, chunk, now):
         if chunk.term < self.term:
             return
@@ -98,13 +106,14 @@
             return
         self._acknowledge(progress, reply.round)
         if reply.installed:
+            progress.snapshot = None
             progress.accept(reply.index)
             progress.next_index = max(progress.next_index, reply.index + 1)
             self._advance_commit()
             self._after_progress(reply.sender, now)
             return
         transfer = progress.snapshot
-        if transfer is None or not reply.index == transfer.key[0] == self.log.snapshot_index:
+        if transfer is None or reply.index != transfer.key[0]:
             return
         if transfer.record_received(reply.offset, 2 * self.timing.heartbeat, now):
             self._send_snapshot(reply.sender, now)
--- a/traystall/consensus/transfers.py
+++ b/traystall/consensus/transfers.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from traystall.consensus.models import Snapshot
+
 # The longest wait for the reply to a chunk before it is sent again. 1 s is enough for links of
 # 0.5 Mbit/s; a longer wait would delay a replica that reconnects after a network partition.
 MAX_REPLY_WAIT_SECONDS = 1.0
@@ -11,6 +13,8 @@
     """Track one transfer; `key` identifies its content, times are in monotonic seconds."""
 
     key: tuple
+    # The snapshot that is sent; None for an entry.
+    snapshot: Snapshot | None = None
     # How many bytes the peer has acknowledged.
     offset: int = 0
     sent_at: float = float("-inf")
--- a/traystall/control/daemon.py
+++ b/traystall/control/daemon.py
@@ -52,6 +52,7 @@
 ROLE = "control"
 # Higher than any revision number or version in use; a follower that reports it receives no updates.
 _MAX_NUMBER = 2**62
+_BYTES_PER_MEGABYTE = 1_000_000
 # How long open HTTP responses may take to finish at shutdown.
 _CLOSE_SECONDS = 0.2
 
@@ -72,7 +73,7 @@
     async def start(self) -> None:
         """Open the data folder, join the group and start to serve."""
         settings = self._settings
-        folder = DataFolder(settings.data_folder)
+        folder = DataFolder(settings.data_folder, settings.disk_megabytes * _BYTES_PER_MEGABYTE)
         recovered = await self._open_folder(folder)
         identity = folder.identity.name
         self._links = LinkPool(LinkIdentity(settings.cluster, ROLE, identity, settings.secret))
--- a/traystall/control/exceptions.py
+++ b/traystall/control/exceptions.py
@@ -15,6 +15,10 @@
     """Report a command that replicas could not apply; it was not proposed."""
 
 
+class NoRoom(ControlError):
+    """Report a command that the disk has no room for; it was not proposed."""
+
+
 class LeaderElsewhere(ControlError):
     """Report that this daemon can't decide now; `leader` is the leader's address or empty."""
 
--- a/traystall/control/node.py
+++ b/traystall/control/node.py
@@ -5,19 +5,23 @@
 """
 
 import asyncio
+import copy
 import functools
 import logging
 from collections.abc import Callable
 
 import msgspec
 
-from traystall.consensus.models import EntryKind, Ready
+from traystall.consensus.log import entry_bytes
+from traystall.consensus.models import EntryKind, Ready, SaveHardState
 from traystall.consensus.replica import Replica
-from traystall.control.exceptions import CommitInDoubt, InvalidCommand, LeaderElsewhere
+from traystall.control import room
+from traystall.control.exceptions import CommitInDoubt, InvalidCommand, LeaderElsewhere, NoRoom
 from traystall.control.state import StateMachine
 from traystall.core import clock, metrics
 from traystall.core.exceptions import DiskFailed, NotLeader, RpcError
 from traystall.rpc.client import LinkPool
+from traystall.rpc.gen.wire.ttypes import AppendReply
 from traystall.storage.folder import DataFolder
 
 TICK_SECONDS = 0.05
@@ -37,6 +41,11 @@
     term: int
     index: int
 
+    @property
+    def has_hard_state(self) -> bool:
+        """Return whether a term or a vote is among the writes."""
+        return any(isinstance(write, SaveHardState) for write in self.writes)
+
 
 class Node:
     """Run one replica over a data folder and links to its peers."""
@@ -62,6 +71,11 @@
         self._snapshot_every = snapshot_every
         self._jobs: asyncio.Queue[_StorageJob] = asyncio.Queue()
         self._storage_busy = False
+        self._disk_fails = False
+        # Jobs with a term or a vote that is not synced yet.
+        self._unsynced_hard_states = 0
+        # Size of the entries applied since the last snapshot.
+        self._applied_bytes = 0
         self._proposals: list[tuple[bytes, asyncio.Future]] = []
         self._waiting: dict[int, tuple[int, asyncio.Future]] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -117,9 +131,10 @@
         """Return the result of a committed command.
 
         Raise LeaderElsewhere if it is certainly not in the log, CommitInDoubt if it may be,
-        InvalidCommand if it can't be applied.
+        InvalidCommand if it can't be applied, NoRoom if the disk has no room for it.
         """
         self._require_valid(command)
+        self._require_room(len(command))
         future = asyncio.get_running_loop().create_future()
         self._proposals.append((command, future))
         if len(self._proposals) == 1:
@@ -140,6 +155,30 @@
         except msgspec.DecodeError as error:
             raise InvalidCommand(f"The command can't be applied: {error}.") from error
 
+    def _require_room(self, size):
+        missing = room.missing_bytes(self._disk_use(), size)
+        if not missing:
+            return
+        if self._applied_bytes:
+            # The snapshot replaces the log; a later attempt may fit.
+            self._compact()
+        logger.warning("change refused: no room", extra={"bytes": size, "missing": missing})
+        raise NoRoom(f"The disk has no room for a change of {size} bytes: {missing} are missing.")
+
+    def _disk_use(self) -> room.DiskUse:
+        uncommitted = self.replica.log.bytes_after(self.replica.applied_index)
+        return room.DiskUse(
+            capacity=self._folder.capacity_bytes,
+            used=self._folder.used_bytes,
+            snapshot=self._snapshot_bytes(),
+            log=self._applied_bytes + uncommitted,
+            uncommitted=uncommitted,
+        )
+
+    def _snapshot_bytes(self):
+        snapshot = self.replica.log.snapshot
+        return len(snapshot.data) if snapshot else 0
+
     async def change_members(self, members, timeout: float) -> None:
         """Propose a membership change and return once it is committed.
 
@@ -186,6 +225,7 @@
         self._send(ready.messages)
         if ready.restore is not None:
             self.state.restore(ready.restore.data)
+            self._applied_bytes = 0
             self._fail_waiting_in_doubt()
         if ready.writes or ready.messages_after_sync:
             self._store(ready)
@@ -201,27 +241,45 @@
             return
         log = self.replica.log
         job = _StorageJob(ready.writes, ready.messages_after_sync, log.last_term, log.last_index)
+        self._unsynced_hard_states += job.has_hard_state
         self._jobs.put_nowait(job)
+        if self._disk_fails and not self._unsynced_hard_states:
+            self._send(self._contact_replies(ready.messages_after_sync))
+
+    def _contact_replies(self, messages) -> list:
+        """Return replies to a leader's messages that confirm only what is durable here.
+
+        Without them a leader whose followers' disks are full would lose its lease, and nothing
+        could be read until a disk accepts a vote.
+        """
+        synced = self.replica.synced_index
+        replies = [m for m in messages if isinstance(m, AppendReply) and m.success]
+        copies = [copy.copy(reply) for reply in replies]
+        for reply in copies:
+            reply.match_index = min(reply.match_index, synced)
+        return copies
 
     async def _store_forever(self):
         while True:
             jobs = [await self._jobs.get()]
             self._storage_busy = True
-            while not self._jobs.empty():
-                jobs.append(self._jobs.get_nowait())
-            writes = [write for job in jobs for write in job.writes]
-            await self._write_until_synced(writes)
+            jobs += self._take_jobs()
+            await self._write_until_synced(jobs)
             self._storage_busy = False
             self._after_sync(jobs)
 
-    async def _write_until_synced(self, writes):
-        """Write until the disk accepts `writes`; messages that depend on them wait until then.
+    def _take_jobs(self) -> list[_StorageJob]:
+        return [self._jobs.get_nowait() for _ in range(self._jobs.qsize())]
 
-        A leader with a failing disk continues as long as a majority of the other voters confirms
-        its entries; only its own copy does not count.
+    async def _write_until_synced(self, jobs):
+        """Write until the disk accepts the writes of `jobs`; their messages wait until then.
+
+        Jobs that arrive while the disk fails are added to `jobs`: a snapshot among them replaces
+        the writes before it. A leader with a failing disk continues as long as a majority of the
+        other voters confirms its entries; only its own copy does not count.
         """
         loop = asyncio.get_running_loop()
-        step = functools.partial(self._folder.write, writes)
+        step = functools.partial(self._folder.write, _writes_of(jobs))
         failures = 0
         while True:
             try:
@@ -229,15 +287,20 @@
                 break
             except DiskFailed as error:
                 failures += 1
+                self._disk_fails = True
                 if failures == 1:
                     logger.error("disk failed", extra={"why": str(error)})
             await asyncio.sleep(DISK_RETRY_SECONDS)
-            step = self._folder.retry
+            added = self._take_jobs()
+            jobs += added
+            step = functools.partial(self._folder.retry, _writes_of(added))
+        self._disk_fails = False
         if failures:
             logger.warning("disk works again", extra={"failures": failures})
 
     def _after_sync(self, jobs):
         for job in jobs:
+            self._unsynced_hard_states -= job.has_hard_state
             self._send(job.messages)
         self.replica.on_synced(jobs[-1].term, jobs[-1].index)
         self.process_ready()
@@ -245,13 +308,24 @@
     def _apply(self, entries):
         for entry in entries:
             result = None
+            self._applied_bytes += entry_bytes(entry)
             if entry.kind == EntryKind.COMMAND:
                 result = self.state.apply(entry.command)
             self._resolve(entry, result)
         self._notify_applied()
-        applied = self.replica.applied_index
-        if applied - self.replica.log.snapshot_index >= self._snapshot_every:
-            self.replica.compact(applied, self.state.snapshot())
+        log = self.replica.log
+        is_long = self.replica.applied_index - log.snapshot_index >= self._snapshot_every
+        if is_long or self._applied_bytes >= self._log_limit_bytes():
+            self._compact()
+
+    def _log_limit_bytes(self):
+        return room.log_limit_bytes(self._folder.capacity_bytes, self._snapshot_bytes())
+
+    def _compact(self):
+        """Replace the applied log by a snapshot, but keep its newest entries for followers."""
+        applied, data = self.replica.applied_index, self.state.snapshot()
+        self.replica.compact(applied, data, retained_bytes=self._log_limit_bytes())
+        self._applied_bytes = 0
 
     def _resolve(self, entry, result):
         term, future = self._waiting.pop(entry.index, (0, None))
@@ -308,6 +382,10 @@
             self.failed.set_exception(task.exception())
 
 
+def _writes_of(jobs) -> list:
+    return [write for job in jobs for write in job.writes]
+
+
 def _fail(future, error):
     if not future.done():
         future.set_exception(error)
--- a/traystall/control/service.py
+++ b/traystall/control/service.py
@@ -7,7 +7,7 @@
 from traystall.catalog.deltas import entities_digest, make_delta
 from traystall.catalog.models import ApplyBundle, ApplyOutcome, NumberRule, SupersedeBundle
 from traystall.control.evacuation import EvacuationOrders
-from traystall.control.exceptions import CommitInDoubt, InvalidCommand, LeaderElsewhere
+from traystall.control.exceptions import CommitInDoubt, InvalidCommand, LeaderElsewhere, NoRoom
 from traystall.control.members import MemberChanges
 from traystall.control.node import Node
 from traystall.control.subscribers import Subscribers
@@ -86,6 +86,8 @@
             raise RpcRefused("in-doubt", str(error)) from error
         except InvalidCommand as error:
             raise RpcRefused("bad-request", str(error)) from error
+        except NoRoom as error:
+            raise RpcRefused("no-room", str(error)) from error
         except ConsensusError as error:
             raise RpcRefused("refused", str(error)) from error
 
--- a/traystall/control/settings.py
+++ b/traystall/control/settings.py
@@ -53,6 +53,12 @@
         "false",
     ),
     Setting("snapshot_every", int, "Log entries between snapshots.", "4096"),
+    Setting(
+        "disk_megabytes",
+        int,
+        "Size of the disk for the data folder; changes without room are refused. 0: unlimited.",
+        "0",
+    ),
     Setting("log_level", str, "Lowest level that is logged.", "info"),
 )
 
@@ -92,6 +98,14 @@
         )
     problems += check_positive("heartbeat", settings.heartbeat)
     problems += check_positive("snapshot_every", settings.snapshot_every)
+    if settings.disk_megabytes < 0:
+        problems.append(
+            Problem(
+                "settings.E024",
+                f"disk_megabytes is {settings.disk_megabytes}.",
+                "Set it to the size of the disk, or to 0.",
+            )
+        )
     if not settings.heartbeat * 3 <= settings.election_min < settings.election_max:
         problems.append(
             Problem(
--- a/traystall/storage/folder.py
+++ b/traystall/storage/folder.py
@@ -3,7 +3,8 @@
 All operations block; the daemon calls them in an executor, one at a time. A failed write or sync
 raises DiskFailed. After a failed fsync, the content of the disk beyond the last successful sync is
 unknown. `retry` therefore truncates the segment to its synced length and writes all pending writes
-to a new segment.
+to a new segment. A pending snapshot replaces the pending writes before it: a disk that is full of
+log then has to take the snapshot only, and deletes the log.
 """
 
 import contextlib
@@ -93,10 +94,16 @@
 
 
 class DataFolder:
-    """Manage one data folder; call `open` before any `write`."""
+    """Manage one data folder; call `open` before any `write`.
 
-    def __init__(self, path: str):
+    `capacity_bytes` is the size of the disk for this folder, 0 if no limit is known.
+    """
+
+    def __init__(self, path: str, capacity_bytes: int = 0):
         self._path = Path(path)
+        self.capacity_bytes = capacity_bytes
+        # The size of all files of the folder.
+        self.used_bytes = 0
         self._segment = None
         self._segment_number = 0
         self._segment_bytes = 0
@@ -106,6 +113,8 @@
         self._lock = None
         # Writes that are not durable yet; each is replaced by its BatchStep when it is first tried.
         self._pending: list = []
+        # Whether a pending snapshot replaces the whole log, so that no older segment counts.
+        self._replaces_log = False
         # The segment whose write failed, and its synced length in bytes.
         self._damaged_segment: tuple[Path, int] | None = None
         self.identity: Identity | None = None
@@ -119,6 +128,7 @@
             stored = self._load_snapshot()
             self._replay(stored)
             self._open_segment()
+            self._measure_use()
         except OSError as error:
             raise DiskFailed(f"The data folder {self._path} cannot be used: {error}.") from error
         entries = [_to_wire(entry) for entry in self._entries]
@@ -133,8 +143,13 @@
         self._pending += writes
         self._write_pending()
 
-    def retry(self) -> None:
-        """Try again to make pending writes durable; raise DiskFailed if the disk still fails."""
+    def retry(self, writes=()) -> None:
+        """Try again to make pending writes and `writes` durable.
+
+        Raise DiskFailed if the disk still fails.
+        """
+        self._pending += writes
+        self._fold_pending()
         try:
             self._abandon_damaged_segment()
         except OSError as error:
@@ -150,6 +165,22 @@
                 self._damaged_segment = (self._current_path(), self._segment_bytes)
             raise DiskFailed(f"A write to {self._path} failed: {error}.") from error
 
+    def _fold_pending(self):
+        """Drop the pending writes before the last pending snapshot.
+
+        `_save_snapshot` writes what they leave: the hard state and the entries after the snapshot.
+        """
+        snapshots = [n for n, write in enumerate(self._pending) if isinstance(write, SaveSnapshot)]
+        if not snapshots:
+            return
+        for write in self._pending[: snapshots[-1]]:
+            if isinstance(write, SaveSnapshot):
+                self._drop_covered_entries(write)
+                self._replaces_log |= not write.keep_entries
+            elif not isinstance(write, BatchStep):
+                self._to_step(write)
+        del self._pending[: snapshots[-1]]
+
     def _write_next(self):
         if isinstance(self._pending[0], SaveSnapshot):
             self._save_snapshot(self._pending[0])
@@ -290,6 +321,7 @@
             raise OSError(errno.ENOSPC, "The disk took only a part of a record.")
         os.fsync(self._segment.fileno())
         self._segment_bytes += len(record)
+        self.used_bytes += len(record)
 
     def _start_segment(self):
         if self._segment is not None:
@@ -307,11 +339,9 @@
     def _save_snapshot(self, write):
         """Write the snapshot, then a new segment with the remaining state; delete old segments."""
         snapshot = write.snapshot
-        if write.keep_entries:
-            self._entries = [e for e in self._entries if e.index > snapshot.index]
-        else:
-            self._entries = []
-        first_segment = 0 if write.keep_entries else self._segment_number + 1
+        self._drop_covered_entries(write)
+        self._replaces_log |= not write.keep_entries
+        first_segment = self._segment_number + 1 if self._replaces_log else 0
         data = pack(StoredSnapshot(snapshot, self._hard_state, first_segment))
         checksum = xxhash.xxh64_digest(data)
         self._write_file(self._path / _SNAPSHOT_FILE, checksum + data)
@@ -321,6 +351,14 @@
         for path in old:
             path.unlink(missing_ok=True)
         self._sync_folder()
+        self._replaces_log = False
+        self._measure_use()
+
+    def _drop_covered_entries(self, write):
+        if write.keep_entries:
+            self._entries = [e for e in self._entries if e.index > write.snapshot.index]
+        else:
+            self._entries = []
 
     def _steps_carried_over(self, snapshot):
         """Return steps that restore the state regardless of the content of older segments."""
@@ -347,13 +385,23 @@
     def _write_file(self, path, data):
         """Replace the content of `path` atomically: a crash leaves the old or the new content."""
         temporary = path.with_suffix(".new")
-        with open(temporary, "wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
+        try:
+            with open(temporary, "wb") as file:
+                file.write(data)
+                file.flush()
+                os.fsync(file.fileno())
+        except OSError:
+            # An incomplete file would take room on a full disk.
+            with contextlib.suppress(OSError):
+                temporary.unlink(missing_ok=True)
+            raise
         temporary.replace(path)
         self._sync_folder()
 
+    def _measure_use(self):
+        with os.scandir(self._path) as files:
+            self.used_bytes = sum(file.stat().st_size for file in files if file.is_file())
+
     def _sync_folder(self):
         descriptor = os.open(self._path, os.O_RDONLY)
         try:
