Items of a document keep their keys when others come and go

Cause: the key of each route, service and tenant held its position in the list, so an item added or taken out early renamed all items behind it.

Change: the leader names new entities after those that it holds. An item's key holds a label, a fraction in base 36; items that are in both lists in the same order keep theirs, others get labels in between. The digest that identifies what an operator sent is still made from the keys as sent.

--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -6,6 +6,7 @@
 from traystall_platform import documents
 from traystall_platform.node_file import NodeFile
 
+from traystall.catalog.deltas import make_delta
 from traystall.core.exceptions import BundleError
 
 ROUTE = {
@@ -141,3 +142,54 @@
     table = translated(services=[service, DOCUMENT["services"][1]])
     assert (table.pools[0].cold_seconds, table.pools[0].cold_per_second) == (3.0, 9.1)
     assert table.pools[1].cold_per_second == 0.0
+
+
+def _routes(count):
+    return [{**ROUTE, "name": f"r-{n}", "path-prefix": f"/p{n}/"} for n in range(count)]
+
+
+def _delta_bytes(held, entities):
+    delta = make_delta(held, entities)
+    return sum(len(key) + len(value) for key, value in delta.puts.items()) + sum(
+        map(len, delta.deletes)
+    )
+
+
+def test_first_route_taken_out_is_a_small_change():
+    """A route's position in the list was a part of its key, so all routes behind were renamed."""
+    routes = _routes(500)
+    _, first = documents.check(changed(routes=routes))
+    held = documents.keep_keys({}, first)
+    for _ in range(5):
+        del routes[0]
+        version, entities = documents.check(changed(routes=routes))
+        arranged = documents.keep_keys(held, entities)
+        assert _delta_bytes(held, arranged) < 100
+        held = arranged
+        assert json.loads(documents.join(version, held)) == {**DOCUMENT, "routes": routes}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda routes: routes[::-1],
+        lambda routes: [*routes[5:], *routes[:5]],
+        lambda routes: [{**ROUTE, "name": "r-3", "path-prefix": "/new/"}, *routes],
+        lambda routes: [{**route, "name": "same"} for route in routes],
+        lambda routes: [],
+    ],
+)
+def test_documents_are_restored_after_any_change(change):
+    """Keys of an earlier document must not change the order of a later one."""
+    routes = _routes(30)
+    for held in (
+        documents.check(changed(routes=routes))[1],
+        documents.keep_keys({}, documents.check(changed(routes=routes))[1]),
+    ):
+        version, entities = documents.split(changed(routes=change(routes)))
+        arranged = documents.keep_keys(held, entities)
+        expected = {**DOCUMENT, "routes": change(routes)}
+        assert json.loads(documents.join(version, arranged)) == expected
+        assert [route.name for route in documents.translate(version, arranged).routes] == [
+            route["name"] for route in change(routes)
+        ]
--- a/traystall/control/daemon.py
+++ b/traystall/control/daemon.py
@@ -20,7 +20,7 @@
 from traystall.control.node import DISK_RETRY_SECONDS, Node
 from traystall.control.orders import OrderSender
 from traystall.control.repair import GroupRepair
-from traystall.control.service import ControlService
+from traystall.control.service import ArrangeEntities, ControlService, keep_as_sent
 from traystall.control.settings import SETTINGS, check_control
 from traystall.control.state import StateMachine
 from traystall.control.subscribers import Subscribers
@@ -69,6 +69,9 @@
         self.node: Node | None = None
         # Control daemons to ask for admission; `reload` may change the list.
         self.join_addresses: list[str] = list(settings.join)
+        # May rename the entities of a new configuration after those of the previous one, so that
+        # the change between them is small.
+        self.arrange_entities: ArrangeEntities = keep_as_sent
 
     async def start(self) -> None:
         """Open the data folder, join the group and start to serve."""
@@ -90,6 +93,7 @@
             EvacuationOrders(self.node, lambda: self._known_data_centres(subscribers)),
             settings.operator_token,
             NumberRule(settings.number_rule),
+            self.arrange_entities,
         )
         suspects = SuspectService(self.node, settings.operator_token)
         self.service.add_handler(ReportRunsRequest, suspects.report)
--- a/traystall/control/service.py
+++ b/traystall/control/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import hmac
 import logging
+from collections.abc import Callable
 
 from traystall.catalog.deltas import entities_digest, make_delta
 from traystall.catalog.models import ApplyBundle, ApplyOutcome, NumberRule, SupersedeBundle
@@ -27,9 +28,17 @@
 _MAX_DOUBTFUL_SHOWN = 100
 _MAX_SUSPECTS_SHOWN = 100
 
+# Takes the held and the new entities; returns the new ones under the keys to hold them by.
+ArrangeEntities = Callable[[dict[str, bytes], dict[str, bytes]], dict[str, bytes]]
+
 logger = logging.getLogger(__name__)
 
 
+def keep_as_sent(_: dict[str, bytes], entities: dict[str, bytes]) -> dict[str, bytes]:
+    """Return the entities of a new configuration unchanged."""
+    return entities
+
+
 class ControlService:
     """Dispatch RPC requests to the replicated state and the subscribers."""
 
@@ -41,6 +50,7 @@
         evacuations: EvacuationOrders,
         operator_token: str,
         rule: NumberRule = NumberRule.EXACT,
+        arrange_entities: ArrangeEntities = keep_as_sent,
     ):
         self._node = node
         self._subscribers = subscribers
@@ -48,6 +58,7 @@
         self._evacuations = evacuations
         self._operator_token = operator_token
         self._rule = rule
+        self._arrange_entities = arrange_entities
         # Apply requests that wait for their commit, by term, number and digest.
         self._applying: dict[tuple[int, int, bytes], asyncio.Task] = {}
         self._handlers = {
@@ -154,11 +165,12 @@
             command_type = ApplyBundle
         if decided is not None:
             return decided
+        entities = self._arrange_entities(catalog.entities, request.entities or {})
         command = command_type(
             number=request.number,
             digest=request.digest,
             operator=request.operator,
-            delta=make_delta(catalog.entities, request.entities or {}),
+            delta=make_delta(catalog.entities, entities),
         )
         packed = pack(command)
         # The leader sends the command to two peers over one link.
