A client that leaves while nothing is read from it is noticed

Cause: a transport that does not read reports no close. Reading was paused, and resumed only after the answer, in two states: a body whose last bytes exceeded the bound, and a second request behind the first. In a tunnel, a hop that waits for a slow target reads nothing either.

Change: reading resumes as soon as received parts are consumed; requests behind the first are read ahead within the same bound of 256 KB, and at most eight of them. While reading is paused all the same, the connection is checked for a close each 0.1 s (POLLRDHUP), in tunnels too. An exchange that is given up with a request not wholly sent resets its connection, since its close would wait behind the unsent bytes. A client that closes its writing side counts as gone, as before.

Not covered: a client that closes in order behind more bytes than the kernel takes, while the bound is reached; its close does not arrive.

--- a/traystall/http/connection.py
+++ b/traystall/http/connection.py
@@ -9,14 +9,17 @@
 import msgspec
 
 from traystall.core import clock
+from traystall.core.sockets import PEER_CHECK_SECONDS, has_peer_closed
 from traystall.http.messages import Header, Response, encode_response, text_response
 from traystall.http.request import Request
 
 # Returns a whole response, or None if the response was streamed.
 Handler = Callable[[Request], Awaitable[Response | None]]
 
-# Reading from the socket pauses while the unread part of a body exceeds this size in bytes.
+# Reading from the socket pauses while the unread parts of bodies exceed this size in bytes, or
+# while more requests than this wait behind the one that is being answered.
 _HIGH_WATER_BYTES = 256 * 1024
+_MAX_WAITING_REQUESTS = 8
 
 logger = logging.getLogger(__name__)
 
@@ -61,6 +64,7 @@
         self._lingering_since: float | None = None
         self._drained: asyncio.Future | None = None
         self._is_paused = False
+        self._peer_check: asyncio.TimerHandle | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -85,9 +89,10 @@
             self._transport.abort()
 
     def resume_body(self) -> None:
-        """Resume reading after the received part of the body was consumed."""
-        if self._is_paused and not self._next and not self._transport.is_closing():
+        """Resume reading after received parts of a body were consumed."""
+        if self._is_paused and self._may_read() and not self._transport.is_closing():
             self._is_paused = False
+            self._peer_check.cancel()
             self._transport.resume_reading()
 
     # ---- what the server calls ----
@@ -122,6 +127,8 @@
     def connection_lost(self, exc):
         """Cancel the work for a client that has disconnected."""
         self._connections.discard(self)
+        if self._peer_check is not None:
+            self._peer_check.cancel()
         if self._reading is not None:
             self._reading.fail_body("The caller has gone.")
         if self._task is not None:
@@ -201,7 +208,7 @@
             self._start_response(request)
         else:
             self._next.append(request)
-            self._pause()
+            self._pause_if_full()
 
     def on_body(self, data):
         """Pass a part of the body to its request."""
@@ -209,8 +216,7 @@
         if request is None:
             return
         request.add_body_part(data)
-        if request.unread_bytes > _HIGH_WATER_BYTES:
-            self._pause()
+        self._pause_if_full()
 
     def on_message_complete(self):
         """End the body; this also completes a response that was sent before it."""
@@ -231,10 +237,37 @@
         names = {name.lower() for name, _ in self._headers}
         return b"content-length" in names or b"transfer-encoding" in names
 
-    def _pause(self):
-        if not self._is_paused and not self._transport.is_closing():
+    def _may_read(self):
+        """Return whether the received requests leave room for more.
+
+        While nothing is read, a close by the client is noticed late or not at all. Requests behind
+        the one that is being answered are therefore read as well, within the same limit.
+        """
+        if len(self._next) > _MAX_WAITING_REQUESTS:
+            return False
+        unread = sum(request.unread_bytes for request in self._next)
+        if self._answering is not None:
+            unread += self._answering.unread_bytes
+        return unread <= _HIGH_WATER_BYTES
+
+    def _pause_if_full(self):
+        if not self._is_paused and not self._may_read() and not self._transport.is_closing():
             self._is_paused = True
             self._transport.pause_reading()
+            self._schedule_peer_check()
+
+    def _schedule_peer_check(self):
+        loop = asyncio.get_running_loop()
+        self._peer_check = loop.call_later(PEER_CHECK_SECONDS, self._check_peer)
+
+    def _check_peer(self):
+        """Close the connection if its client has closed it while nothing is read from it."""
+        if self._transport.is_closing():
+            return
+        if has_peer_closed(self._transport):
+            self.abort()
+        else:
+            self._schedule_peer_check()
 
     def _start_response(self, request):
         self._answering = request
--- a/traystall/http/request.py
+++ b/traystall/http/request.py
@@ -147,7 +147,8 @@
                 return b""
             if self._error is not None:
                 raise self._error
-            self.connection.resume_body()
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
-        return self._parts.popleft()
+        part = self._parts.popleft()
+        self.connection.resume_body()
+        return part
--- a/traystall/passthrough/exchange/connection.py
+++ b/traystall/passthrough/exchange/connection.py
@@ -14,7 +14,11 @@
 import msgspec
 
 from traystall.core.peer_timeout import PeerTimeout
-from traystall.core.sockets import TARGET_UNACKNOWLEDGED_TIMEOUT_MS, enable_dead_peer_detection
+from traystall.core.sockets import (
+    TARGET_UNACKNOWLEDGED_TIMEOUT_MS,
+    enable_dead_peer_detection,
+    reset_on_close,
+)
 from traystall.passthrough.exceptions import (
     ConnectFailed,
     ConnectionBroken,
@@ -193,8 +197,12 @@
     def close(self) -> None:
         """Close the connection immediately, which cancels work in progress at the target."""
         self.is_closed = True
-        if self.transport is not None:
-            self.transport.abort()
+        if self.transport is None:
+            return
+        if not self.transport.is_closing() and self.transport.get_write_buffer_size():
+            # A peer that reads slowly would notice the close only behind the bytes of the request.
+            reset_on_close(self.transport)
+        self.transport.abort()
 
     # ---- asyncio.Protocol ----
 
--- a/traystall/passthrough/tunnels/service.py
+++ b/traystall/passthrough/tunnels/service.py
@@ -5,16 +5,19 @@
 """
 
 import asyncio
-import contextlib
-import socket
-import struct
 
 import httptools
 
 from traystall.core import clock
 from traystall.core.exceptions import RpcRefused
 from traystall.core.peer_timeout import PeerTimeout
-from traystall.core.sockets import TARGET_UNACKNOWLEDGED_TIMEOUT_MS, enable_dead_peer_detection
+from traystall.core.sockets import (
+    PEER_CHECK_SECONDS,
+    TARGET_UNACKNOWLEDGED_TIMEOUT_MS,
+    enable_dead_peer_detection,
+    has_peer_closed,
+    reset_on_close,
+)
 from traystall.passthrough.exchange.connection import (
     CONNECT_TIMEOUT_SECONDS,
     TUNNEL_CLOSED_HEADER,
@@ -33,8 +36,6 @@
 _DRAIN_POLL_SECONDS = 0.02
 # A gateway that does not close a tunnel in which requests are refused is waited for this long.
 _REFUSAL_SECONDS = 1.0
-# Closing a socket with this option resets the connection instead of ending it in order.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class TunnelService:
@@ -158,10 +159,7 @@
         """Close both connections, the gateway's with a reset."""
         if not self.is_closed and self._gateway_writer is not None:
             transport = self._gateway_writer.transport
-            sock = transport.get_extra_info("socket")
-            # The option fails only on a socket that is closed already.
-            with contextlib.suppress(OSError, AttributeError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            reset_on_close(transport)
             transport.abort()
         self.close()
 
@@ -175,10 +173,21 @@
                 if self.is_idle:
                     self._start_request()
                 self._writer.write(data)
-                await self._writer.drain()
+                await self._drain_requests()
         except OSError:
             return  # The gateway has reset the tunnel; closing it stops the target's work.
 
+    async def _drain_requests(self):
+        """Return once the target has room for more; raise OSError if the gateway has gone."""
+        drained = asyncio.ensure_future(self._writer.drain())
+        try:
+            while not (await asyncio.wait({drained}, timeout=PEER_CHECK_SECONDS))[0]:
+                if has_peer_closed(self._gateway_writer.transport):
+                    raise ConnectionResetError("The gateway has closed the tunnel.")
+            drained.result()
+        finally:
+            drained.cancel()
+
     def _start_request(self):
         """Prepare for the response to a request that begins."""
         self._has_head = False
