Bytes without end are cut at a bound, at once

Cause: an exchange with a target bounded neither a head, nor interim answers, nor what stands between two chunks; such bytes also counted as signs of life.

Change: 64 KB in a row without a byte of a body end the connection and fail the attempt as no answer; only a head, bytes of a body and its end are signs of life. Answers to the gateway's own calls (pieces, reports, probes) are limited to 1 MiB, documents about a target's state as well. Clients' trailers and chunk extensions have the bound of their heads. Bodies keep their bounds.

--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -376,3 +376,19 @@
             return (await site.answer())[2]
 
     assert uvloop.run(play()) == b"one"
+
+
+@pytest.mark.parametrize("endless", [b"X-More: 1\r\n", b"x" * 1024])
+def test_trailers_and_chunk_extensions_without_end_are_refused(endless):
+    """What is no part of a body was read without a bound."""
+
+    async def play():
+        async with _Site() as site:
+            site.writer.write(b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+            site.writer.write(b"0\r\n" if endless.startswith(b"X") else b"4;ext=")
+            with pytest.raises(ConnectionError):
+                for _ in range(2_000):
+                    site.writer.write(endless * (65536 // len(endless)))
+                    await site.writer.drain()
+
+    run(play())
--- a/traystall/control/order_client.py
+++ b/traystall/control/order_client.py
@@ -7,6 +7,7 @@
 
 from traystall.control.exceptions import LeaseLost
 from traystall.core import clock
+from traystall.core.limited_body import read_limited
 from traystall.core.peer_timeout import PeerTimeout
 from traystall.permits.exceptions import PermitDenied
 from traystall.permits.permits import Permits
@@ -60,7 +61,7 @@
                     # The body of an error holds no state: a busy engine would appear to hold no
                     # models.
                     return None
-                body = await response.json()
+                body = json.loads(await read_limited(response))
             return EngineState(
                 target.name, _to_models(body.get("ready", [])), _to_models(body.get("loading", []))
             )
--- a/traystall/gateway/adapters/http.py
+++ b/traystall/gateway/adapters/http.py
@@ -18,6 +18,7 @@
     TargetFailed,
     TargetNotRun,
 )
+from traystall.core.limited_body import read_limited
 from traystall.core.peer_timeout import PeerTimeout
 from traystall.gateway.adapters.base import (
     ATTEMPT_HEADER,
@@ -76,7 +77,7 @@
                 on_head(response.status, response.headers)
                 if response.status != 200:
                     raise TargetFailed(response.status, url)
-                document = await response.json(content_type=None)
+                document = json.loads(await read_limited(response))
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise TargetFailed(0, type(error).__name__) from error
         if not isinstance(document, dict):
--- a/traystall/http/connection.py
+++ b/traystall/http/connection.py
@@ -20,6 +20,8 @@
 # while more requests than this wait behind the one that is being answered.
 _HIGH_WATER_BYTES = 256 * 1024
 _MAX_WAITING_REQUESTS = 8
+# The transport passes on at most this much at once.
+_MAX_READ_BYTES = 256 * 1024
 
 logger = logging.getLogger(__name__)
 
@@ -50,6 +52,8 @@
         self._target = b""
         self._headers: list[Header] = []
         self._head_bytes = 0
+        # Bytes received since the last byte of a body: of trailers, or between two chunks.
+        self._bytes_without_body = 0
         # The request whose body is being read, the one being answered, and the queued ones.
         self._reading: Request | None = None
         self._answering: Request | None = None
@@ -163,6 +167,10 @@
             self._head_bytes += len(data)
             if self._head_bytes > self._limits.head_bytes:
                 self._fail(431, "The head of the request is too large.")
+        elif self._reading is not None:
+            self._bytes_without_body += len(data)
+            if self._bytes_without_body > self._limits.head_bytes + _MAX_READ_BYTES:
+                self._fail(400, "Too much comes between two parts of the body.")
 
     # ---- httptools ----
 
@@ -171,6 +179,7 @@
         self._target = b""
         self._headers = []
         self._head_bytes = 0
+        self._bytes_without_body = 0
         self._reading_head = True
         self._state_since = clock.monotonic()
 
@@ -213,6 +222,7 @@
     def on_body(self, data):
         """Pass a part of the body to its request."""
         request = self._reading
+        self._bytes_without_body = 0
         if request is None:
             return
         request.add_body_part(data)
--- a/traystall/passthrough/exchange/attempt.py
+++ b/traystall/passthrough/exchange/attempt.py
@@ -16,6 +16,8 @@
 from traystall.permits.permits import Permit
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# The same for responses to calls of this gateway: handles of results, and health pages.
+MAX_OWN_RESPONSE_BYTES = 1024 * 1024
 # Late responses to earlier requests on the same connection are skipped up to this count and, each,
 # to `_MAX_STRAY_BYTES`.
 _MAX_STRAY_RESPONSES = 2
@@ -178,12 +180,14 @@
         raise NoAnswer("The answer belongs to another request.", sent=True)
 
     async def read_response(self) -> TargetResponse:
-        """Return the complete response."""
-        return await self.read_body(await self.read_head())
-
-    async def read_body(self, head: ResponseHead) -> TargetResponse:
-        """Read the body that belongs to `head`, and return the complete response."""
-        body = await self._connection.body(MAX_RESPONSE_BYTES)
+        """Return the complete response to a call of this gateway."""
+        return await self.read_body(await self.read_head(), MAX_OWN_RESPONSE_BYTES)
+
+    async def read_body(
+        self, head: ResponseHead, limit: int = MAX_RESPONSE_BYTES
+    ) -> TargetResponse:
+        """Read the body that belongs to `head`, of at most `limit` bytes."""
+        body = await self._connection.body(limit)
         self._is_complete = True
         return TargetResponse(head, body)
 
--- a/traystall/passthrough/exchange/connection.py
+++ b/traystall/passthrough/exchange/connection.py
@@ -28,6 +28,9 @@
 
 # Reading from the socket pauses while more bytes than this are buffered and not yet consumed.
 _HIGH_WATER_BYTES = 256 * 1024
+# Bytes without any body in a row: of a head with the interim responses before it, of trailers, or
+# between two chunks. A target that sends more of them sends no response.
+MAX_HEAD_BYTES = 64 * 1024
 CONNECT_TIMEOUT_SECONDS = 0.25
 _KEEP_ALIVE_TIMEOUT_PREFIX = "timeout="
 # Marks a response of the gateway of a tunnel, which has not passed the request on to the target.
@@ -87,7 +90,7 @@
 
     `on_send(connection)` is called before each request. `on_head(connection, head)` is called with
     each response head when it is parsed, even if no caller waits for the response. `on_data()` is
-    called whenever bytes arrive.
+    called whenever a part of a response arrives: a head, bytes of a body, or its end.
     """
 
     on_send: Callable[["TargetConnection"], None] = lambda connection: None
@@ -130,6 +133,10 @@
         self._in_message = False
         self._until_close = False
         self._is_skipped = False
+        # Bytes received since the last byte of a body, and whether the last bytes held a part of a
+        # response.
+        self._bytes_without_body = 0
+        self._has_progressed = False
         self._had_eof = False
         self._paused = False
 
@@ -142,6 +149,7 @@
         self.is_idle = False
         self.requests += 1
         self.sent_request = sent_request
+        self._bytes_without_body = 0
         self._observer.on_send(self)
         self.transport.write(data)
 
@@ -213,14 +221,20 @@
 
     def data_received(self, data):
         """Feed the parser; bytes on an idle connection are unexpected and close it."""
-        self._observer.on_data()
         if self.is_idle:
             self.close()
             return
+        self._has_progressed = False
+        self._bytes_without_body += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(NoAnswer(f"What came is no answer: {error}.", sent=True))
+        if self._has_progressed:
+            self._observer.on_data()
+        if self._bytes_without_body > MAX_HEAD_BYTES:
+            self._fail(NoAnswer(f"Over {MAX_HEAD_BYTES} bytes came without a body.", sent=True))
+            self.close()
 
     def eof_received(self):
         """Record that the target closed its side in order, and close the connection."""
@@ -252,6 +266,7 @@
 
     def on_headers_complete(self):
         """Queue the response head; interim responses (1xx) are skipped."""
+        self._has_progressed = True
         status = self._parser.get_status_code()
         names = {name.lower() for name, _ in self._headers}
         is_refused = bool(self.via) and TUNNEL_CLOSED_HEADER.lower().encode() in names
@@ -270,6 +285,8 @@
 
     def on_body(self, data):
         """Queue body bytes, and pause reading above the high-water mark."""
+        self._has_progressed = True
+        self._bytes_without_body = 0
         self._buffered_bytes += len(data)
         if self._buffered_bytes > _HIGH_WATER_BYTES and not self._paused and not self.is_closed:
             self._paused = True
@@ -278,6 +295,7 @@
 
     def on_message_complete(self):
         """Queue the end of the message."""
+        self._has_progressed = True
         self._in_message = False
         if not self._is_skipped:
             self._enqueue(_END_OF_MESSAGE)
