Items of a document that did not change are translated once

Cause: each gateway translated all of 4,200 routes after each change, and each control daemon that received a document did so to check it.

Change: the translated items of the last revision are kept by their JSON and used again. Keys of items before and behind the changed part of a list are kept without a search.

--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -193,3 +193,18 @@
         assert [route.name for route in documents.translate(version, arranged).routes] == [
             route["name"] for route in change(routes)
         ]
+
+
+def test_items_that_did_not_change_are_translated_once():
+    """Each small change of a large document cost its whole translation, at every gateway."""
+    translator = documents.DocumentTranslator()
+    routes = _routes(50)
+    first = translator(*documents.check(changed(routes=routes)))
+    second_routes = [*routes[1:], {**ROUTE, "name": "new", "path-prefix": "/new/"}]
+    entities = documents.check(changed(routes=second_routes))[1]
+    second = translator(8, entities)
+    assert all(a is b for a, b in zip(first.routes[1:], second.routes, strict=False))
+    assert second == documents.translate(8, entities)
+    routes[3] = {**routes[3], "timeout-ms": 1000}
+    third = translator(9, documents.check(changed(routes=routes))[1])
+    assert [route.timeout for route in third.routes[2:5]] == [8.0, 1.0, 8.0]
--- a/traystall/catalog/list_order.py
+++ b/traystall/catalog/list_order.py
@@ -37,6 +37,25 @@
 
 def _kept_labels(held, names) -> list[str | None]:
     """Return the label that each of `names` keeps, or None."""
+    head = _common_length(held, names)
+    tail = _common_length(held[head:][::-1], names[head:][::-1])
+    end = len(held) - tail
+    kept = [label for label, _ in held[:head]]
+    kept += _kept_in_changed_part(held[head:end], names[head : len(names) - tail])
+    return kept + [label for label, _ in held[end:]]
+
+
+def _common_length(held, names):
+    """Return how many names both lists have in common at their beginning."""
+    length = 0
+    for (_, held_name), name in zip(held, names, strict=False):
+        if held_name != name:
+            break
+        length += 1
+    return length
+
+
+def _kept_in_changed_part(held, names) -> list[str | None]:
     positions = {item: n for n, item in enumerate(_numbered(name for _, name in held))}
     matched = [(n, positions[item]) for n, item in enumerate(_numbered(names)) if item in positions]
     kept: list[str | None] = [None] * len(names)
