Calls of stage workers carry an id that answers are matched by

Cause: the call carried no id, and an exchange without an id takes any answer. A surplus answer with as many items was taken for the answer to the next call, whose own answer then came as the surplus one of the call after, for as long as the connection was used.

Change: each call carries an id of its own. An answer with another id is skipped; one without an id is taken only from a worker that has sent no id back so far.

--- a/traystall/passthrough/exchange/attempt.py
+++ b/traystall/passthrough/exchange/attempt.py
@@ -42,14 +42,21 @@
 
     On exit the connection returns to the pool if the response was read completely. Otherwise it
     is closed, and the target cancels the work. `is_work` is false for requests about earlier work,
-    such as releasing results; a target that is shutting down still accepts these.
+    such as releasing results; a target that is shutting down still accepts these. `is_own_call` is
+    true for calls with an id of this gateway's, which some targets don't send back.
     """
 
     def __init__(
-        self, view: TargetView, names: HeaderNames, request_id: str | None, is_work: bool = True
+        self,
+        view: TargetView,
+        names: HeaderNames,
+        request_id: str | None,
+        is_work: bool = True,
+        is_own_call: bool = False,
     ):
         self.view = view
         self._is_work = is_work
+        self._is_own_call = is_own_call
         self._is_first_after_backoff = False
         self.head: ResponseHead | None = None
         self._names = names
@@ -238,6 +245,11 @@
         if self._request_id is None:
             return True
         found = head.get(self._names.request_id)
+        if self._is_own_call:
+            if found is None:
+                return not self.view.echoes_call_ids
+            self.view.echoes_call_ids = True
+            return found == self._request_id
         if found is None:
             # Error responses may omit the request id; a success must carry it.
             return not 200 <= head.status < 300
--- a/traystall/passthrough/health/board.py
+++ b/traystall/passthrough/health/board.py
@@ -89,6 +89,8 @@
     # Whether a probe, or a request that has left it, found it silent, and it has not been heard
     # since.
     is_silent: bool = False
+    # Whether it sends back the ids of this gateway's own calls.
+    echoes_call_ids: bool = False
 
     @property
     def is_ready(self) -> bool:
--- a/traystall/passthrough/stages/piece_calls.py
+++ b/traystall/passthrough/stages/piece_calls.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from traystall.core import clock
+from traystall.core.ids import new_id
 from traystall.core.peer_timeout import PeerTimeout
 from traystall.passthrough.dialect import HttpCall, PieceOrder, PieceResult
 from traystall.passthrough.exceptions import NoAnswer
@@ -34,10 +35,15 @@
     """
     now = clock.monotonic()
     call = context.stage_dialect.run([_to_order(job, now) for job in batch])
-    headers = {context.names.expected_incarnation: view.identity}
+    call_id = new_id()
+    headers = {
+        context.names.expected_incarnation: view.identity,
+        # A surplus answer to an earlier call would give its results to other requests.
+        context.names.request_id: call_id,
+    }
     patience = patience_with(expected)
     longest = max(patience, max(job.deadline for job in batch) - now)
-    async with Attempt(view, context.names, None) as attempt:
+    async with Attempt(view, context.names, call_id, is_own_call=True) as attempt:
         async with PeerTimeout(patience):
             await attempt.open(float("inf"), longest_seconds=longest)
         attempt.send(request_bytes(call, view.report.address, headers))
