Retained entries count with their overhead, cached copies by their bytes

Entries retained for followers were limited by the bytes of their commands alone, so entries without a command would have been retained for good; packed copies for gateways were limited by their number alone.

Change: an entry counts with 512 bytes beside its command; copies are limited to 8 MiB.

Tests: test_entries_without_a_command_are_not_retained_for_good failed before (1,000 of 1,000 retained), test_cached_copies_are_limited_by_their_bytes is new with its constant.

--- a/tests/catalog/test_transfers.py
+++ b/tests/catalog/test_transfers.py
@@ -10,6 +10,7 @@
 from traystall.catalog.transfers import (
     INITIAL_CHUNK_BYTES,
     INITIAL_CHUNK_TIMEOUT_SECONDS,
+    MAX_CACHED_BYTES,
     ChunkSizer,
     IncomingCopy,
     PackedCopyCache,
@@ -127,3 +128,16 @@
     assert list(delta.puts) == sorted(delta.puts)
     result = apply_delta(old, entities_digest(old), delta)
     assert result == new and list(result) == sorted(result)
+
+
+def test_cached_copies_are_limited_by_their_bytes():
+    """Copies of large configurations were limited by their number alone."""
+    cache = PackedCopyCache()
+    rng = random.Random(1)
+    for number in range(10):
+        result = bytes([number])
+        content = {"k": rng.randbytes(3 * 1024 * 1024)}
+        cache.get(b"", result, lambda content=content, result=result: full_copy(content, result))
+    cached = list(cache._packed.values())
+    assert sum(len(packed.data) for packed in cached) <= MAX_CACHED_BYTES
+    assert cached[-1] == pack_copy(full_copy(content, result))
--- a/tests/consensus/test_snapshot_transfer.py
+++ b/tests/consensus/test_snapshot_transfer.py
@@ -2,8 +2,9 @@
 
 from tests.consensus.test_replica import TIMING, acknowledge, elect, make_replica
 from traystall.consensus.log import ReplicaLog
+from traystall.consensus.models import Snapshot
 from traystall.consensus.snapshots import SNAPSHOT_CHUNK_BYTES
-from traystall.rpc.gen.wire.ttypes import SnapshotChunk, SnapshotReply
+from traystall.rpc.gen.wire.ttypes import LogEntry, SnapshotChunk, SnapshotReply
 
 CHUNKS = 40
 # Latency of the slow link; a reply arrives after several heartbeats.
@@ -91,3 +92,14 @@
     leader._send_append("c/1", 5.0)
     (message,) = leader.take_ready().messages
     assert [entry.command for entry in message.entries] == [b"change"]
+
+
+def test_entries_without_a_command_are_not_retained_for_good():
+    """Entries retained by the bytes of their commands alone would grow without a bound."""
+    log = ReplicaLog()
+    for index in range(1, 1001):
+        log.append(LogEntry(index=index, term=1, kind=0, command=b""))
+    log.compact(Snapshot(1000, 1, (), b""), retained_bytes=10_240)
+    assert log.last_index == 1000
+    assert 980 < log.first_index <= 1000
+    assert log.term_at(1000) == 1
--- a/traystall/catalog/transfers.py
+++ b/traystall/catalog/transfers.py
@@ -19,6 +19,8 @@
 _COMPRESSION_LEVEL = 1
 # Number of packed copies that a source caches: one for each base that gateways still hold.
 MAX_CACHED_COPIES = 16
+# The same in bytes; the newest copy is cached whatever its size.
+MAX_CACHED_BYTES = 8 * 1024 * 1024
 # Limit on the unpacked size, equal to the frame limit, as a protection against corrupt data.
 _MAX_UNPACKED_BYTES = 64 * 1024 * 1024
 
@@ -94,11 +96,16 @@
         packed = self._packed.get(pair)
         if packed is None:
             packed = self._packed[pair] = pack_copy(make())
-            while len(self._packed) > self._kept:
-                self._packed.popitem(last=False)
+            self._evict()
         self._packed.move_to_end(pair)
         return packed
 
+    def _evict(self):
+        size = sum(len(packed.data) for packed in self._packed.values())
+        while len(self._packed) > self._kept or (size > MAX_CACHED_BYTES and len(self._packed) > 1):
+            _, evicted = self._packed.popitem(last=False)
+            size -= len(evicted.data)
+
     def find(self, packed_digest: bytes) -> PackedCopy | None:
         """Return the copy whose packed bytes have this digest if it is kept."""
         for pair, packed in self._packed.items():
--- a/traystall/consensus/log.py
+++ b/traystall/consensus/log.py
@@ -2,6 +2,9 @@
 
 from traystall.consensus.models import EntryKind, MemberRecord, Snapshot, decode_members
 
+# What an entry takes in memory beside its command.
+_ENTRY_OVERHEAD_BYTES = 512
+
 
 class ReplicaLog:
     """Hold the entries after a snapshot and some before it, and look them up by index.
@@ -114,11 +117,13 @@
     def compact(self, snapshot: Snapshot, retained_bytes: int = 0) -> None:
         """Replace the entries up to the snapshot's index by the snapshot.
 
-        The newest of these entries are retained, up to `retained_bytes` in total.
+        The newest of these entries are retained, up to `retained_bytes` of memory in total.
         """
         dropped = snapshot.index - self._base_index
-        while dropped and (size := entry_bytes(self._entries[dropped - 1])) <= retained_bytes:
-            retained_bytes -= size
+        while dropped:
+            retained_bytes -= entry_bytes(self._entries[dropped - 1]) + _ENTRY_OVERHEAD_BYTES
+            if retained_bytes < 0:
+                break
             dropped -= 1
         if dropped:
             self._base_index += dropped
