--- a/tests/control/test_log_of_large_changes.py
+++ b/tests/control/test_log_of_large_changes.py
@@ -8,6 +8,7 @@
 from tests.support.control_group import ControlGroup
 from traystall.catalog.state import MAX_KEPT_DELTA_BYTES
 from traystall.control import room
+from traystall.core import metrics
 from traystall.core.exceptions import RpcError, RpcRefused
 from traystall.storage import folder as folder_module
 
@@ -52,6 +53,8 @@
             for number in range(1, 81):
                 await apply_until_taken(group, number, {"k": os.urandom(MEGABYTE)})
             assert (await group.read("a"))[0] == 80
+            page = metrics.render_metrics([])[0].decode()
+            assert "traystall_disk_used_bytes" in page and "traystall_log_bytes" in page
             for name, daemon in group.daemons.items():
                 assert folder_bytes(tmp_path / name) < 20 * MEGABYTE, name
                 log = daemon.node.replica.log
--- a/traystall/control/node.py
+++ b/traystall/control/node.py
@@ -205,6 +205,8 @@
             self._process(ready)
         metrics.consensus_term.set({}, self.replica.term)
         metrics.consensus_commit.set({}, self.replica.commit_index)
+        metrics.disk_used_bytes.set({}, self._folder.used_bytes)
+        metrics.log_bytes.set({}, self._applied_bytes)
 
     # ---- outputs ----
 
--- a/traystall/core/metrics.py
+++ b/traystall/core/metrics.py
@@ -90,6 +90,8 @@
 )
 consensus_term = Gauge("traystall_consensus_term", "Current term of this replica.")
 consensus_commit = Gauge("traystall_consensus_commit_index", "Committed log index.")
+disk_used_bytes = Gauge("traystall_disk_used_bytes", "Size of all files in the data folder.")
+log_bytes = Gauge("traystall_log_bytes", "Size of the log that the next snapshot replaces.")
 rpc_bytes_total = Counter(
     "traystall_rpc_bytes_total", "Bytes on links between our processes, by direction and kind."
 )
