--- /dev/null
+++ b/tests/storage/test_segments_after_a_power_loss.py
@@ -0,0 +1,39 @@
+"""A loss of power may keep any of the segments that a snapshot has just replaced."""
+
+import itertools
+import shutil
+
+import pytest
+
+from tests.storage.test_folder import MEMBERS, entry, indexes, open_folder, recover
+from traystall.consensus.models import AppendLog, SaveSnapshot, Snapshot
+from traystall.storage import folder as folder_module
+
+ENTRIES = 6
+SNAPSHOT_INDEX = 3
+KEPT = [
+    kept
+    for count in range(ENTRIES + 1)
+    for kept in itertools.combinations(range(1, ENTRIES + 1), count)
+]
+
+
+@pytest.mark.parametrize("kept", KEPT, ids=str)
+def test_any_of_the_replaced_segments_may_survive(tmp_path, monkeypatch, kept):
+    """A segment lost between two that survived left a gap, and the daemon did not start."""
+    monkeypatch.setattr(folder_module, "SEGMENT_BYTES", 1)
+    data, copies = tmp_path / "data", tmp_path / "copies"
+    folder, _ = open_folder(data)
+    for index in range(1, ENTRIES + 1):
+        folder.write([AppendLog([entry(index)])])
+    shutil.copytree(data, copies)
+    snapshot = Snapshot(SNAPSHOT_INDEX, 1, MEMBERS, b"state")
+    folder.write([SaveSnapshot(snapshot, keep_entries=True)])
+    folder.close()
+    segments = sorted(copies.glob("log-*.wal"))
+    assert len(segments) == ENTRIES
+    for number in kept:
+        shutil.copy(segments[number - 1], data)
+    recovered = recover(data)
+    assert recovered.log.snapshot_index == SNAPSHOT_INDEX
+    assert indexes(recovered) == list(range(SNAPSHOT_INDEX + 1, ENTRIES + 1))
