--- a/tests/support/emulator/runner.py
+++ b/tests/support/emulator/runner.py
@@ -73,6 +73,8 @@
         self.room = room
         # Bytes that a report counts for each result.
         self.result_bytes = 10
+        # Size of the answers to requests whose path ends in /large.
+        self.large_bytes = 0
         self.loses = 0
         # Number of calls that free results and are reset before the target reads them.
         self.resets_frees = 0
@@ -290,6 +292,8 @@
 
     async def _answer_fault(self, writer, request, fault):
         body = b"answer to " + request["body"]
+        if request["path"].endswith("/large"):
+            body = bytes(self.large_bytes)
         if fault == "closed after running":
             return False
         if fault == "silent":
