Limits of the configuration: in force for what clients send, while it is parsed

Callers outside the limits sent heads, blank lines and bodies without end or stopped inside them; nothing ended a body that stopped, and max-header-bytes, header-timeout and idle-timeout of the configuration were read nowhere. A head of short lines was checked after the parser had made objects of all lines that came in one read, at a hundred bytes of memory for a header of two.

Cause: a connection had limits of its own (64 KB, 10 s, 60 s), counted heads by reads and not by lines, did not count the first read or anything before a request, and had no time for a body.

Change: RequestHead (pure) counts target and lines as they come, at least as the wire does, which also bounds their number; blank lines have the same bound. is_overdue (pure) says for each thing that a connection waits for when its client has given up. The frontend waits for a body until the request's own deadline or its route's timeout, and answers 408. The limits of a new configuration hold for open connections. The rest of a refused request is read for 2 s and 16 MB at most. The next request of a connection begins once the client has read most of the answer before it.

--- a/traystall/control/targets_api.py
+++ b/traystall/control/targets_api.py
@@ -39,7 +39,8 @@
         try:
             body = msgspec.json.decode(await request.read(_MAX_BODY_BYTES), type=_Report)
         except (msgspec.DecodeError, HttpError) as error:
-            return json_response({"error": f"The report can't be read: {error}."}, 400)
+            status = error.status if isinstance(error, HttpError) else 400
+            return json_response({"error": f"The report can't be read: {error}."}, status)
         registry.report(TargetReport(identity=identity, **msgspec.structs.asdict(body)))
         return json_response({})
 
--- a/traystall/core/sockets.py
+++ b/traystall/core/sockets.py
@@ -51,6 +51,16 @@
     return any(events & _CLOSED_EVENTS for _, events in poll.poll(0))
 
 
+def has_unread_bytes(transport) -> bool:
+    """Return whether bytes have arrived that the event loop has not read yet."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return any(events & select.POLLIN for _, events in poll.poll(0))
+
+
 def reset_on_close(transport) -> None:
     """Make the close of a connection reset it, so that the kernel drops what is not sent yet."""
     sock = transport.get_extra_info("socket")
--- a/traystall/http/connection.py
+++ b/traystall/http/connection.py
@@ -6,12 +6,13 @@
 from collections.abc import Awaitable, Callable
 
 import httptools
-import msgspec
 
 from traystall.core import clock
-from traystall.core.sockets import PEER_CHECK_SECONDS, has_peer_closed
-from traystall.http.exceptions import BodyBroken
-from traystall.http.messages import Header, Response, encode_response, text_response
+from traystall.core.sockets import PEER_CHECK_SECONDS, has_peer_closed, has_unread_bytes
+from traystall.http.exceptions import BodyBroken, BodyTimeout, HeadTooLarge
+from traystall.http.head import RequestHead
+from traystall.http.limits import ConnectionLimits, Stage, is_overdue
+from traystall.http.messages import BODILESS, Response, encode_response, text_response
 from traystall.http.request import Request
 
 # Returns a whole response, or None if the response was streamed.
@@ -25,36 +26,34 @@
 _MAX_READ_BYTES = 256 * 1024
 # The parser gets at most this much at once, and the limits are checked after it.
 _MAX_PARSED_BYTES = 64 * 1024
+# Larger responses are written in parts of this size.
+_MAX_WRITTEN_BYTES = 128 * 1024
+# Stages whose time counts from their begin, however much the client moves.
+_TIMED_STAGES = (Stage.REQUEST, Stage.HEAD)
 
 logger = logging.getLogger(__name__)
 
 
-class ConnectionLimits(msgspec.Struct, frozen=True):
-    """Limit the size and the duration of what a client sends."""
-
-    head_bytes: int = 64 * 1024
-    head_seconds: float = 10.0
-    # Keep-alive connections are closed after this long without a request.
-    idle_seconds: float = 60.0
-    # After a response that precedes the end of the request body, the rest of the body is read
-    # for this long, so that the client gets the response and not a connection reset.
-    linger_seconds: float = 2.0
-
-
 class ServerConnection(asyncio.Protocol):
     """Read requests and answer them one at a time."""
 
     def __init__(
-        self, handler: Handler, bounds: ConnectionLimits, connections: set["ServerConnection"]
+        self,
+        handler: Handler,
+        limits: ConnectionLimits,
+        connections: set["ServerConnection"],
     ):
         self._handler = handler
-        self._limits = bounds
+        # May be replaced at any time.
+        self.limits = limits
         self._connections = connections
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._target = b""
-        self._headers: list[Header] = []
-        self._head_bytes = 0
+        # The head that is being read; the parser reports heads and blank lines as they come.
+        self._head: RequestHead | None = None
+        self._heads_begun = 0
+        # Bytes received since the last request that belong to none.
+        self._blank_bytes = 0
         # Bytes received since the last byte of a body: of trailers, or between two chunks.
         self._bytes_without_body = 0
         # The request whose body is being read, the one being answered, and the queued ones.
@@ -62,13 +61,19 @@
         self._answering: Request | None = None
         self._next: deque[Request] = deque()
         self._task: asyncio.Task | None = None
-        self._reading_head = False
         # Whether nothing has been received yet.
         self.is_new = True
         self._has_failed = False
         self._close_after_response = False
-        self._state_since = clock.monotonic()
+        # Whether requests were dropped that the client has sent.
+        self._drops_input = False
+        # Whether the response to `_answering` was written, and the client has yet to read it.
+        self._is_response_written = False
+        self._state_since = self._moved_at = clock.monotonic()
+        # Size of the write buffer when it was last looked at.
+        self._unsent_bytes = 0
         self._lingering_since: float | None = None
+        self._lingered_bytes = 0
         self._drained: asyncio.Future | None = None
         self._is_paused = False
         self._peer_check: asyncio.TimerHandle | None = None
@@ -76,7 +81,24 @@
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being received and no response is pending."""
-        return self._answering is None and self._reading is None and not self._reading_head
+        return self._answering is None and self._reading is None and self._head is None
+
+    @property
+    def moved_at(self) -> float:
+        """Return when something was received last."""
+        return self._moved_at
+
+    @property
+    def stage(self) -> Stage:
+        """Return what the connection is waiting for."""
+        if self._lingering_since is not None:
+            return Stage.LINGERING
+        if self._is_response_written:
+            return Stage.READING
+        if self._answering is not None:
+            is_waiting = self._reading is self._answering
+            return Stage.BODY if is_waiting else Stage.HANDLER
+        return Stage.REQUEST if self._head is None else Stage.HEAD
 
     # ---- what a request calls ----
 
@@ -110,19 +132,22 @@
             self._transport.close()
 
     def sweep(self, now: float) -> None:
-        """Close a connection that was idle for too long or sends a request head too slowly."""
-        bounds = self._limits
-        if self._lingering_since is not None:
-            if now - self._lingering_since > bounds.linger_seconds:
-                self.close()
-        elif self.is_idle and now - self._state_since > bounds.idle_seconds:
-            self.close()
-        elif (
-            self._reading_head
-            and self._answering is None
-            and now - self._state_since > bounds.head_seconds
-        ):
+        """Close a connection whose client takes too long."""
+        stage = self.stage
+        if not is_overdue(stage, self._stage_seconds(stage, now), self.limits):
+            return
+        if stage in (Stage.HEAD, Stage.BODY, Stage.REQUEST) and self._has_unread_bytes():
+            return  # They came while the event loop was held up.
+        if stage is Stage.HEAD:
             self._fail(408, "The head of the request takes too long.")
+        elif stage is Stage.BODY:
+            logger.info("body not received")
+            self._give_up_body(BodyTimeout())
+        elif stage is Stage.READING:
+            logger.info("response not read", extra={"unsent": self._unsent_bytes})
+            self.abort()
+        else:
+            self.close()
 
     # ---- asyncio.Protocol ----
 
@@ -155,63 +180,85 @@
     def data_received(self, data):
         """Parse received bytes."""
         self.is_new = False
-        view = memoryview(data)
-        for start in range(0, len(view), _MAX_PARSED_BYTES):
-            self._parse(view[start : start + _MAX_PARSED_BYTES])
+        self._moved_at = clock.monotonic()
+        if self._lingering_since is not None:
+            self._lingered_bytes += len(data)
+            if self._lingered_bytes > self.limits.linger_bytes:
+                self.abort()
+                return
+        if len(data) <= _MAX_PARSED_BYTES:
+            self._parse(data)
+        else:
+            view = memoryview(data)
+            for start in range(0, len(view), _MAX_PARSED_BYTES):
+                self._parse(view[start : start + _MAX_PARSED_BYTES])
 
     def _parse(self, data):
         if self._has_failed:
             return
-        was_in_head = self._reading_head
+        head, reading, heads_begun = self._head, self._reading, self._heads_begun
         try:
             self._parser.feed_data(data)
+            if head is not None and self._head is head:
+                head.on_received(len(data))
         except httptools.HttpParserUpgrade:
             # Protocol upgrades are not supported: the request is answered as the last one.
             self._has_failed = self._close_after_response = True
+        except HeadTooLarge as error:
+            self._fail(error.status, str(error))
+        except httptools.HttpParserCallbackError as error:
+            self._fail_in_callback(error)
         except httptools.HttpParserError as error:
             self._fail(400, f"What came is no request: {error}.")
-        if self._reading_head and was_in_head:
-            # The parser buffers a header name or value until it is complete.
-            self._head_bytes += len(data)
-            if self._head_bytes > self._limits.head_bytes:
-                self._fail(431, "The head of the request is too large.")
-        elif self._reading is not None:
-            self._bytes_without_body += len(data)
-            if self._bytes_without_body > self._limits.head_bytes + _MAX_READ_BYTES:
-                self._fail(400, "Too much comes between two parts of the body.")
-                return
-            self._reading.on_parts_added()
-            self._pause_if_full()
+        if self._reading is not None:
+            self._after_parts(len(data))
+        elif head is None and reading is None and self._heads_begun == heads_begun:
+            self._blank_bytes += len(data)
+            if self._blank_bytes > self.limits.head_bytes:
+                self._fail(400, "Too much comes before a request.")
+
+    def _after_parts(self, size):
+        """Check the limits of the body whose parts are among the `size` bytes received."""
+        self._bytes_without_body += size
+        if self._bytes_without_body > self.limits.head_bytes + _MAX_READ_BYTES:
+            self._fail(400, "Too much comes between two parts of the body.")
+            return
+        self._reading.on_parts_added()
+        self._pause_if_full()
+
+    def _fail_in_callback(self, error):
+        cause = error.__context__
+        if isinstance(cause, HeadTooLarge):
+            self._fail(cause.status, str(cause))
+        else:
+            self._fail(400, f"What came is no request: {cause or error}.")
 
     # ---- httptools ----
 
     def on_message_begin(self):
         """Begin a request."""
-        self._target = b""
-        self._headers = []
-        self._head_bytes = 0
+        self._head = RequestHead(self.limits.head_bytes)
+        self._heads_begun += 1
+        self._blank_bytes = 0
         self._bytes_without_body = 0
-        self._reading_head = True
-        self._state_since = clock.monotonic()
+        self._state_since = self._moved_at
 
     def on_url(self, part):
         """Keep a part of the target."""
-        self._target += part
+        self._head.add_target(part)
 
     def on_header(self, name, value):
-        """Keep a header."""
-        self._headers.append((name, value.strip()))
+        """Keep a header; trailers are dropped."""
+        if self._head is not None:
+            self._head.add_header(name, value)
 
     def on_headers_complete(self):
         """Begin to answer, or queue the request behind the one that is being answered."""
-        self._reading_head = False
+        head, self._head = self._head, None
         if self._has_failed:
             return  # The parser continues to the end of the data that it was given.
-        if self._head_size() > self._limits.head_bytes:
-            self._fail(431, "The head of the request is too large.")
-            return
         parser = self._parser
-        if parser.should_upgrade() and self._has_body():
+        if parser.should_upgrade() and _has_body(head):
             # The parser treats the bytes after such a head as data of another protocol.
             self._fail(400, "No other protocol is spoken here.")
             return
@@ -219,8 +266,8 @@
         request = self._reading = Request(
             self,
             parser.get_method().decode("latin-1"),
-            self._target.decode("utf-8", "surrogateescape"),
-            tuple(self._headers),
+            head.target.decode("utf-8", "surrogateescape"),
+            tuple(head.headers),
             keep_alive=is_current and parser.should_keep_alive(),
             chunks_allowed=is_current,
         )
@@ -232,11 +279,9 @@
 
     def on_body(self, data):
         """Pass a part of the body to its request; there may be one for each byte."""
-        request = self._reading
         self._bytes_without_body = 0
-        if request is None:
-            return
-        request.add_body_part(data)
+        if self._reading is not None:
+            self._reading.add_body_part(data)
 
     def on_message_complete(self):
         """End the body; this also completes a response that was sent before it."""
@@ -250,12 +295,18 @@
 
     # ---- helpers ----
 
-    def _head_size(self):
-        return len(self._target) + sum(len(name) + len(value) for name, value in self._headers)
+    def _stage_seconds(self, stage, now):
+        """Return the time that counts at a stage."""
+        if stage is Stage.LINGERING:
+            return now - self._lingering_since
+        if stage is Stage.READING:
+            unsent = self._transport.get_write_buffer_size()
+            if unsent != self._unsent_bytes:
+                self._unsent_bytes, self._moved_at = unsent, now
+        return now - (self._state_since if stage in _TIMED_STAGES else self._moved_at)
 
-    def _has_body(self):
-        names = {name.lower() for name, _ in self._headers}
-        return b"content-length" in names or b"transfer-encoding" in names
+    def _has_unread_bytes(self):
+        return not self._is_paused and has_unread_bytes(self._transport)
 
     def _may_read(self):
         """Return whether the received requests leave room for more.
@@ -306,42 +357,99 @@
                 request.abort()
         if response is not None:
             request.keep_alive = request.keep_alive and not self._close_after_response
-            with_body = request.method != "HEAD"
-            self.write(encode_response(response, not request.keep_alive, with_body))
+            await self._write_response(request, response)
         elif not request.has_ended:
             request.abort()
+        if self._drained is not None:
+            await self._until_read(request, 0)
         self._finish(request)
 
+    async def _write_response(self, request, response):
+        """Write a whole response; a large one goes in parts, as the client reads them."""
+        close, body = not request.keep_alive, response.body
+        with_body = request.method != "HEAD" and response.status not in BODILESS
+        if len(body) <= _MAX_WRITTEN_BYTES or not with_body:
+            self.write(encode_response(response, close, with_body))
+            return
+        self.write(encode_response(response, close, False))
+        for start in range(0, len(body), _MAX_WRITTEN_BYTES):
+            # The transport keeps a part that is not sent yet alive, and with it all of its buffer.
+            self.write(body[start : start + _MAX_WRITTEN_BYTES])
+            if self._drained is not None:
+                await self._until_read(request, len(body))
+
+    async def _until_read(self, request, held_bytes):
+        """Return once the client has read most of what was written; `held_bytes` is the rest.
+
+        Responses that it does not read would otherwise pile up behind each other.
+        """
+        request.discard_body()
+        self._is_response_written = True
+        self._moved_at = clock.monotonic()
+        await self.drained()
+        self._is_response_written = False
+
     def _finish(self, request):
         """Start the next request, or first read the rest of the current request body."""
         if request.is_complete or self._has_failed:
             self._start_next(request)
             return
         request.discard_body()
-        self._lingering_since = clock.monotonic()
+        self._begin_lingering()
         self.resume_body()
 
     def _start_next(self, request):
         self._answering = self._task = None
-        self._state_since = clock.monotonic()
+        self._state_since = self._moved_at = clock.monotonic()
         if not request.keep_alive or (self._close_after_response and not self._next):
-            self.close()
+            self._close_or_linger(request)
         if self._transport.is_closing():
             return
-        if self._next:
+        if self._next and self._lingering_since is None:
             self._start_response(self._next.popleft())
         self.resume_body()
 
-    def _fail(self, status, why):
+    def _begin_lingering(self):
+        self._lingering_since = clock.monotonic()
+        self._lingered_bytes = 0
+
+    def _close_or_linger(self, request):
+        """Close after the last response; a client that still sends must be able to read it."""
+        if self._has_failed and (self._drops_input or not request.is_complete):
+            self._begin_lingering()
+        else:
+            self.close()
+
+    def _give_up_body(self, error):
+        """Make the handler refuse the request whose body it waits for."""
+        self._answering.keep_alive = False
+        self._answering.fail_body(error)
+        self._stop_reading()
+
+    def _stop_reading(self):
+        """Drop what follows the request that is being answered, and close after its response."""
+        self._has_failed = self._close_after_response = self._drops_input = True
+        self._reading = self._head = None
+        self._next.clear()
+        self.resume_body()
+
+    def _fail(self, status, why, retry_after=None):
         """Stop reading; report the error to the client after the pending responses."""
         if self._has_failed:
             return
         self._has_failed = self._close_after_response = True
-        self._reading_head = False
+        self._head = None
         logger.info("request not read", extra={"status": status, "why": why})
         if self._reading is not None:
             self._reading.fail_body(BodyBroken(why))
             self._reading = None
         if self._answering is None:
-            self.write(encode_response(text_response(status, f"{why}\n"), close=True))
-            self._lingering_since = clock.monotonic()
+            headers = [] if retry_after is None else [(b"Retry-After", b"%.2f" % retry_after)]
+            response = text_response(status, f"{why}\n", headers)
+            self.write(encode_response(response, close=True))
+            self._begin_lingering()
+
+
+def _has_body(head):
+    names = {name.lower() for name, _ in head.headers}
+    return b"content-length" in names or b"transfer-encoding" in names
--- a/traystall/http/messages.py
+++ b/traystall/http/messages.py
@@ -12,7 +12,7 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # End of a body in chunked transfer encoding.
 LAST_CHUNK = b"0\r\n\r\n"
-_BODILESS = (204, 304)
+BODILESS = (204, 304)
 
 
 class Response(msgspec.Struct):
@@ -45,7 +45,7 @@
 
 def encode_response(response: Response, close: bool, with_body: bool = True) -> bytes:
     """Return an encoded response; the response to a HEAD request has no body."""
-    if response.status in _BODILESS:
+    if response.status in BODILESS:
         return encode_head(response.status, response.headers, [], close)
     framing = [(b"Content-Length", b"%d" % len(response.body))]
     head = encode_head(response.status, response.headers, framing, close)
--- a/traystall/http/server.py
+++ b/traystall/http/server.py
@@ -4,7 +4,8 @@
 import logging
 
 from traystall.core import clock, metrics
-from traystall.http.connection import ConnectionLimits, Handler, ServerConnection
+from traystall.http.connection import Handler, ServerConnection
+from traystall.http.limits import ConnectionLimits
 from traystall.http.overload import TICK_SECONDS, LoadShedder
 
 _SWEEP_SECONDS = 1.0
@@ -49,6 +50,14 @@
         if self._shedder is not None:
             self._tick()
 
+    def set_limits(self, limits: ConnectionLimits) -> None:
+        """Replace the limits of what a client may send, for open connections too."""
+        if limits == self._limits:
+            return
+        self._limits = limits
+        for connection in self._connections:
+            connection.limits = limits
+
     @property
     def port(self) -> int:
         """Return the port that the server listens at."""
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -12,6 +12,7 @@
 from traystall.core.ids import new_id
 from traystall.gateway.configuration import ConfigurationFollower
 from traystall.http.health import add_health_pages
+from traystall.http.limits import ConnectionLimits
 from traystall.http.router import Router
 from traystall.http.server import HttpServer
 from traystall.passthrough.admission.budget import RepeatBudgetRule
@@ -308,6 +309,7 @@
     async def _start_front(self):
         self._front = PassFrontend(self.gateway_context)
         self._callers = HttpServer(self._front.handle, sheds_load=True)
+        self.gateway_context.follower.on_change.append(self._apply_limits)
         await self._callers.listen(self.settings.listen)
         self._health = None
         if self.settings.health_listen:
@@ -319,6 +321,17 @@
             self._health = HttpServer(router.handle)
             await self._health.listen(self.settings.health_listen)
 
+    def _apply_limits(self):
+        """Hold callers to the limits of the configuration in force."""
+        limits = self.gateway_context.index.table.limits
+        self._callers.set_limits(
+            ConnectionLimits(
+                head_bytes=limits.max_header_bytes,
+                head_seconds=limits.header_timeout,
+                idle_seconds=limits.idle_timeout,
+            )
+        )
+
 
 def main() -> None:
     """Run the daemon; exit with 2 on bad settings."""
--- a/traystall/passthrough/entry/front.py
+++ b/traystall/passthrough/entry/front.py
@@ -5,13 +5,13 @@
 
 from traystall.core import clock, metrics
 from traystall.core.logs import decision
-from traystall.http.exceptions import BodyBroken, BodyTooLarge
+from traystall.http.exceptions import BodyTimeout, HttpError
 from traystall.http.messages import Response, text_response
 from traystall.http.request import Request
 from traystall.passthrough.context import PassContext
 from traystall.passthrough.entry.drain import Phase
 from traystall.passthrough.entry.messages import CallerRequest
-from traystall.passthrough.entry.request import PassRequest
+from traystall.passthrough.entry.request import PassRequest, allowed_seconds
 from traystall.passthrough.exceptions import Refusal
 from traystall.passthrough.exchange.runner import PassRunner
 from traystall.routes.matching import allowed_data_centres, choose_pool
@@ -24,9 +24,16 @@
 # Typical delay until a new configuration arrives: 40 KB beside other traffic on a 5 Mbit/s link.
 _BEHIND_RETRY_AFTER_SECONDS = 0.3
 
+# Statuses of refusals that may leave a part of the body unread.
+_UNREAD_STATUSES = (400, 408, 413)
+
 logger = logging.getLogger(__name__)
 
 
+def _refusal(error: HttpError) -> Refusal:
+    return Refusal(error.status, error.code, str(error), error.retry_after)
+
+
 class PassFrontend:
     """Handle callers' requests."""
 
@@ -93,7 +100,7 @@
             raise Refusal(
                 503, "no-place", "Route and customer have no data centre in common.", None
             )
-        caller = await self._read(request)
+        caller = await self._read(request, route, started)
         passed = PassRequest(
             caller,
             route,
@@ -135,14 +142,21 @@
             )
         return Refusal(status, code, why)
 
-    async def _read(self, request) -> CallerRequest:
+    async def _read(self, request, route, started) -> CallerRequest:
+        """Return the whole request; refuse it once nobody waits for its response any more."""
         limit = self._context.index.table.limits.max_body_bytes
         try:
-            body = await request.read(limit)
-        except BodyTooLarge as error:
-            raise Refusal(413, "too-large", str(error)) from error
-        except BodyBroken as error:
-            raise Refusal(400, "bad-body", str(error)) from error
+            if request.is_complete:
+                body = await request.read(limit)
+            else:
+                name = self._context.names.deadline_ms
+                until = started + allowed_seconds(request.get(name), route, name)
+                async with asyncio.timeout(max(0.0, until - clock.monotonic())):
+                    body = await request.read(limit)
+        except TimeoutError:
+            raise _refusal(BodyTimeout()) from None
+        except HttpError as error:
+            raise _refusal(error) from error
         return CallerRequest(request.method, request.target, request.headers, body)
 
     def _refuse(self, request, refusal):
@@ -162,7 +176,7 @@
             retry_after=refusal.retry_after,
             number=self._context.index.number,
         )
-        if refusal.status in (400, 413):
+        if refusal.status in _UNREAD_STATUSES:
             # Unread bytes of the body would be parsed as the next request.
             request.keep_alive = False
         return text_response(refusal.status, f"{refusal.code}\n", headers)
--- a/traystall/passthrough/entry/request.py
+++ b/traystall/passthrough/entry/request.py
@@ -75,7 +75,9 @@
         self.resumes = caller.get(names.resumes) or ""
         self.last_event_id = caller.get(LAST_EVENT_ID)
         self.writer = RequestWriter(caller, names)
-        self.deadline = started + self._seconds()
+        self.deadline = started + allowed_seconds(
+            caller.get(names.deadline_ms), route, names.deadline_ms
+        )
         self.prompt: Prompt = parse_prompt(
             caller.get(names.prompt_parts), caller.get(names.token_counts)
         )
@@ -202,16 +204,15 @@
             self.longest_pause = max(self.longest_pause, now - self.last_event_at)
         self.last_event_at = now
 
-    def _seconds(self):
-        text = self.caller.get(self.names.deadline_ms)
-        if text is None:
-            return self.route.timeout
-        try:
-            return min(self.route.timeout, max(0.0, float(text) / 1000))
-        except ValueError:
-            raise Refusal(
-                400, "bad-deadline", f"{self.names.deadline_ms} is not a number of milliseconds."
-            ) from None
+
+def allowed_seconds(text: str | None, route: Route, name: str) -> float:
+    """Return how long a request may take whose header `name` has the value `text`, if any."""
+    if not text:
+        return route.timeout
+    try:
+        return min(route.timeout, max(0.0, float(text) / 1000))
+    except ValueError:
+        raise Refusal(400, "bad-deadline", f"{name} is not a number of milliseconds.") from None
 
 
 def _parse_counts(text, stages):
