Memory: one account of what a process holds for its clients

Such clients ended a process: it ran out of memory. Many bodies just short of their end, heads of short lines, bodies far over the limit and answers that nobody reads took 167 to 544 MB at a gateway whose machine has 160, and 270 to 369 MB at a control daemon whose machine has 256.

Cause: there were limits for each connection and none for their sum.

Change: MemoryAccount (pure) counts what all connections of a process hold, in a fifth of the memory that its settings name (memory_megabytes; the platform's limits.memory-mb). When it is exceeded, those give way that hold most and move least: 503 with Retry-After before anything ran, or the connection is closed. An eighth is kept for small requests. What is being handled stays. The receive buffer of a client is limited to 32 KB, so that reading ahead goes to 512 KB, which the account bounds, for clients that leave behind unread bytes to be noticed as before.

--- a/tests/conf/test_settings.py
+++ b/tests/conf/test_settings.py
@@ -112,3 +112,14 @@
 
 def test_size_defaults_to_zero():
     assert load("pass", PASS, [check_pass], [*PASS_FLAGS], {}).size == 0.0
+
+
+@pytest.mark.parametrize(
+    ("declared", "check", "flags"),
+    [(PASS, check_pass, FLAGS), (CONTROL, check_control, CONTROL_FLAGS)],
+    ids=["pass", "control"],
+)
+def test_negative_resources_are_a_clear_error(declared, check, flags):
+    with pytest.raises(SettingsError) as caught:
+        load("p", declared, [check], [*flags, "--memory-megabytes=-1", "--max-descriptors=-2"], {})
+    assert [problem.id for problem in caught.value.problems] == ["settings.E025"] * 2
--- a/tests/http/test_bounds.py
+++ b/tests/http/test_bounds.py
@@ -1,6 +1,7 @@
 """What one client may send to a server, and how it is answered when it is too much."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -10,6 +11,7 @@
 from traystall.http.exceptions import HttpError
 from traystall.http.limits import ConnectionLimits, Stage
 from traystall.http.messages import text_response
+from traystall.http.resources import ClientResources
 from traystall.http.server import HttpServer
 
 _LIMIT = 4 * 1024 * 1024
@@ -29,9 +31,9 @@
 class _Site:
     """A server with limits, whose handler answers the size of a body or why there is none."""
 
-    def __init__(self, limits=None):
+    def __init__(self, limits=None, resources=None):
         limits = limits or ConnectionLimits(head_bytes=_HEAD_BYTES)
-        self.server = HttpServer(self._handle, limits)
+        self.server = HttpServer(self._handle, limits, resources=resources)
         self.bodies = []
         self.may_answer = asyncio.Event()
         self.may_answer.set()
@@ -193,6 +195,61 @@
     assert run(scenario()) == 431
 
 
+def test_process_holds_no_more_than_its_account_allows():
+    """Twenty bodies of a megabyte that stop, where there is room for four."""
+
+    async def scenario():
+        resources = ClientResources(20 * 2**20)
+        async with _Site(resources=resources) as site:
+            crowd = [await site.connect(_announced(2**20, 2**20 - 1)) for _ in range(20)]
+            await site.until(lambda: resources.memory.given_up >= 16)
+            assert resources.memory.held_bytes <= resources.memory.capacity_bytes
+            assert await _ask(site, _announced(3000, 3000)) == 200
+            refused = 0
+            for reader in crowd:
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(0.2):
+                        status, head = await _answer(reader)
+                        refused += status == 503 and "Retry-After" in head
+            assert refused >= 16
+            assert len(site.bodies) == 1
+
+    run(scenario())
+
+
+def test_heads_count_with_what_their_lines_take():
+    async def scenario():
+        resources = ClientResources(5 * 2**20)
+        async with _Site(ConnectionLimits(), resources) as site:
+            lines = b"a:\r\n" * 8_000
+            for _ in range(10):
+                await site.connect(_GET[:-2] + lines)
+            await site.until(lambda: resources.memory.given_up)
+            assert resources.memory.held_bytes <= resources.memory.capacity_bytes
+            assert await _ask(site, _GET) == 200
+
+    run(scenario())
+
+
+def test_request_that_is_handled_is_answered_though_what_follows_is_given_up():
+    async def scenario():
+        resources = ClientResources(5 * 2**20)
+        async with _Site(resources=resources) as site:
+            site.may_answer.clear()
+            reader = await site.connect(_announced(3000, 3000) + _announced(400_000, 400_000))
+            await site.until(lambda: site.bodies)
+            await site.connect(_announced(2**20, 2**20 - 1))
+            await site.until(lambda: resources.memory.given_up)
+            (first,) = [row for row in site.server._connections if row.stage is Stage.HANDLER]
+            first.give_up()
+            site.may_answer.set()
+            status, head = await _answer(reader)
+            assert (status, "Connection: close" in head) == (200, True)
+            assert [len(body) for body in site.bodies] == [3000]
+
+    run(scenario())
+
+
 def test_requests_wait_for_the_client_to_read_the_answers_before():
     """Answers piled up in the write buffer of a client that reads none."""
     large = b"y" * 2**20
@@ -221,6 +278,22 @@
     assert run(scenario()) < 8
 
 
+def test_account_is_empty_once_all_have_gone():
+    async def scenario():
+        resources = ClientResources(20 * 2**20)
+        async with _Site(resources=resources) as site:
+            await _ask(site, _announced(3000, 3000))
+            await site.connect(_announced(2**20, 2**20 - 1))
+            await site.connect(_GET[:-2])
+            await site.until(lambda: resources.memory.held_bytes > 2**19)
+            for writer in site.writers:
+                writer.close()
+            await site.until(lambda: not site.server._connections)
+            return resources.memory.held_bytes
+
+    assert run(scenario()) == 0
+
+
 def test_parser_reports_an_error_of_a_callback_as_a_refusal():
     connection = ServerConnection(None, ConnectionLimits(head_bytes=5), set())
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -54,3 +54,14 @@
         NodeFile.parse(CORE.replace("ip=10.1.0.44", "ip=10.9.0.1") + "bootstrap=true")
     )
     assert not settings.initial_members
+
+
+@pytest.mark.parametrize(
+    ("role", "text"), [(gateway, EDGE), (control, CORE)], ids=["gateway", "control"]
+)
+def test_processes_keep_to_the_limits_of_their_machine(role, text):
+    limits = "limits.memory-mb=160\nlimits.max-fds=4100\n"
+    settings = role.make_settings(NodeFile.parse(text + limits))
+    assert (settings.memory_megabytes, settings.max_descriptors) == (160, 3900)
+    settings = role.make_settings(NodeFile.parse(text))
+    assert (settings.memory_megabytes, settings.max_descriptors) == (0, 0)
--- a/traystall/control/daemon.py
+++ b/traystall/control/daemon.py
@@ -29,6 +29,7 @@
 from traystall.core import clock, daemon, hold_ups, logs, startup
 from traystall.core.exceptions import ConsensusError, DiskFailed, RpcError
 from traystall.http.health import add_health_pages
+from traystall.http.resources import process_resources
 from traystall.http.router import Router
 from traystall.http.server import HttpServer
 from traystall.permits.permits import Permits
@@ -65,6 +66,10 @@
     def __init__(self, settings: Settings):
         super().__init__()
         self._settings = settings
+        # Shared by everything that listens.
+        self.client_resources = process_resources(
+            settings.memory_megabytes, settings.max_descriptors
+        )
         self._address = settings.rpc_advertise or settings.rpc_listen
         self.node: Node | None = None
         # Control daemons to ask for admission; `reload` may change the list.
@@ -104,7 +109,10 @@
         await self._registry_persistence.restore()
         repair = self._make_repair(identity)
         self._server = RpcServer(
-            settings.rpc_listen, settings.cluster, settings.secret, self.service.handle
+            settings.rpc_listen,
+            settings.cluster,
+            settings.secret,
+            self.service.handle,
         )
         await self._server.start()
         self.node.start()
@@ -250,7 +258,7 @@
         router = Router()
         add_health_pages(router, self.node.is_fresh)
         add_target_calls(router, self.registry)
-        self._http = HttpServer(router.handle)
+        self._http = HttpServer(router.handle, resources=self.client_resources)
         await self._http.listen(self._settings.http_listen)
 
 
--- a/traystall/control/settings.py
+++ b/traystall/control/settings.py
@@ -2,6 +2,7 @@
 
 from traystall.catalog.models import NumberRule
 from traystall.conf.checks import Problem, check_address, check_addresses, check_positive
+from traystall.conf.resources import RESOURCE_SETTINGS, check_resources
 from traystall.conf.settings import Setting, Settings
 
 SETTINGS = (
@@ -59,6 +60,7 @@
         "Size of the disk for the data folder; changes without room are refused. 0: unlimited.",
         "0",
     ),
+    *RESOURCE_SETTINGS,
     Setting("log_level", str, "Lowest level that is logged.", "info"),
 )
 
@@ -114,4 +116,4 @@
                 "Raise election_min and election_max, or lower heartbeat.",
             )
         )
-    return problems
+    return problems + check_resources(settings)
--- a/traystall/core/metrics.py
+++ b/traystall/core/metrics.py
@@ -43,6 +43,14 @@
     "traystall_connections_shed_total",
     "Connections closed unread during an overload.",
 )
+client_bytes = Gauge("traystall_client_bytes", "Bytes that this process holds for clients.")
+client_bytes_limit = Gauge(
+    "traystall_client_bytes_limit", "Bytes that this process may hold for clients."
+)
+connections_given_up_total = Counter(
+    "traystall_connections_given_up_total",
+    "Connections of clients given up or refused for want of memory or descriptors, by why.",
+)
 target_ends_total = Counter(
     "traystall_target_ends_total", "Ends of targets seen while they ran requests, by pool."
 )
--- a/traystall/core/sockets.py
+++ b/traystall/core/sockets.py
@@ -61,6 +61,16 @@
     return any(events & select.POLLIN for _, events in poll.poll(0))
 
 
+def limit_receive_buffer(sock, size: int) -> None:
+    """Limit what the kernel keeps of a peer that is not read; accepted sockets inherit it.
+
+    The kernel reserves twice the size.
+    """
+    # A closed socket, or one of another family, rejects the option.
+    with contextlib.suppress(OSError, AttributeError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
 def reset_on_close(transport) -> None:
     """Make the close of a connection reset it, so that the kernel drops what is not sent yet."""
     sock = transport.get_extra_info("socket")
--- a/traystall/http/connection.py
+++ b/traystall/http/connection.py
@@ -7,20 +7,22 @@
 
 import httptools
 
-from traystall.core import clock
+from traystall.core import clock, metrics
 from traystall.core.sockets import PEER_CHECK_SECONDS, has_peer_closed, has_unread_bytes
-from traystall.http.exceptions import BodyBroken, BodyTimeout, HeadTooLarge
+from traystall.http.exceptions import BodyBroken, BodyTimeout, HeadTooLarge, MemoryExhausted
 from traystall.http.head import RequestHead
 from traystall.http.limits import ConnectionLimits, Stage, is_overdue
+from traystall.http.memory import Holding, MemoryAccount
 from traystall.http.messages import BODILESS, Response, encode_response, text_response
 from traystall.http.request import Request
+from traystall.http.resources import RECEIVE_BUFFER_BYTES
 
 # Returns a whole response, or None if the response was streamed.
 Handler = Callable[[Request], Awaitable[Response | None]]
 
 # Reading from the socket pauses while the unread parts of bodies exceed this size in bytes, or
 # while more requests than this wait behind the one that is being answered.
-_HIGH_WATER_BYTES = 256 * 1024
+_HIGH_WATER_BYTES = 512 * 1024
 _MAX_WAITING_REQUESTS = 8
 # The transport passes on at most this much at once.
 _MAX_READ_BYTES = 256 * 1024
@@ -28,6 +30,8 @@
 _MAX_PARSED_BYTES = 64 * 1024
 # Larger responses are written in parts of this size.
 _MAX_WRITTEN_BYTES = 128 * 1024
+# Memory of a request besides its head and body.
+_REQUEST_BYTES = 1500
 # Stages whose time counts from their begin, however much the client moves.
 _TIMED_STAGES = (Stage.REQUEST, Stage.HEAD)
 
@@ -42,11 +46,14 @@
         handler: Handler,
         limits: ConnectionLimits,
         connections: set["ServerConnection"],
+        memory: MemoryAccount | None = None,
     ):
         self._handler = handler
         # May be replaced at any time.
         self.limits = limits
         self._connections = connections
+        self._memory = memory
+        self._holding = Holding(self)
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         # The head that is being read; the parser reports heads and blank lines as they come.
@@ -69,6 +76,7 @@
         self._drops_input = False
         # Whether the response to `_answering` was written, and the client has yet to read it.
         self._is_response_written = False
+        self._response_bytes = 0
         self._state_since = self._moved_at = clock.monotonic()
         # Size of the write buffer when it was last looked at.
         self._unsent_bytes = 0
@@ -149,6 +157,25 @@
         else:
             self.close()
 
+    def give_up(self) -> None:
+        """Release what is held for the client, except for a request that is being handled."""
+        error = MemoryExhausted()
+        stage = self.stage
+        metrics.connections_given_up_total.inc({"why": "memory"})
+        logger.warning(
+            "connection given up",
+            extra={"why": str(error), "bytes": self._holding.held_bytes, "stage": stage.name},
+        )
+        if stage is Stage.BODY:
+            self._give_up_body(error)
+        elif stage is Stage.READING:
+            self.abort()
+        elif stage is Stage.HANDLER:
+            self._stop_reading()
+        else:
+            self._fail(error.status, str(error), error.retry_after)
+        self._count_memory()
+
     # ---- asyncio.Protocol ----
 
     def connection_made(self, transport):
@@ -161,6 +188,9 @@
         self._connections.discard(self)
         if self._peer_check is not None:
             self._peer_check.cancel()
+        if self._memory is not None:
+            self._memory.update(self._holding, 0, 0)
+            self._memory = None
         if self._reading is not None:
             self._reading.fail_body(BodyBroken("The caller has gone."))
         if self._task is not None:
@@ -192,6 +222,7 @@
             view = memoryview(data)
             for start in range(0, len(view), _MAX_PARSED_BYTES):
                 self._parse(view[start : start + _MAX_PARSED_BYTES])
+        self._hold_memory()
 
     def _parse(self, data):
         if self._has_failed:
@@ -271,6 +302,7 @@
             keep_alive=is_current and parser.should_keep_alive(),
             chunks_allowed=is_current,
         )
+        request.head_bytes = _REQUEST_BYTES + head.held_bytes
         if self._answering is None:
             self._start_response(request)
         else:
@@ -308,6 +340,33 @@
     def _has_unread_bytes(self):
         return not self._is_paused and has_unread_bytes(self._transport)
 
+    def _hold_memory(self):
+        """Count what is held, and make the heaviest holders give up if it is too much."""
+        self._count_memory()
+        if self._memory is not None and self._memory.is_exceeded:
+            self._memory.relieve(clock.monotonic())
+
+    def _count_memory(self):
+        """Tell the account what the connection holds, and what it can release."""
+        if self._memory is None:
+            return
+        if self._transport.is_closing():
+            self._memory.update(self._holding, 0, 0)
+            return
+        held = sum(request.held_bytes for request in self._next) if self._next else 0
+        if self._head is not None:
+            held += self._head.held_bytes
+        if self._is_paused:
+            held += RECEIVE_BUFFER_BYTES
+        handled = 0
+        if self._answering is not None:
+            handled = self._answering.held_bytes
+            if self._is_response_written:
+                handled = self._response_bytes + self._transport.get_write_buffer_size()
+        is_handled = self.stage is Stage.HANDLER
+        self._memory.update(self._holding, held + handled, held if is_handled else held + handled)
+        self._holding.moved_at = self._moved_at
+
     def _may_read(self):
         """Return whether the received requests leave room for more.
 
@@ -385,7 +444,9 @@
         """
         request.discard_body()
         self._is_response_written = True
+        self._response_bytes = held_bytes
         self._moved_at = clock.monotonic()
+        self._hold_memory()
         await self.drained()
         self._is_response_written = False
 
@@ -396,6 +457,7 @@
             return
         request.discard_body()
         self._begin_lingering()
+        self._count_memory()
         self.resume_body()
 
     def _start_next(self, request):
@@ -407,6 +469,7 @@
             return
         if self._next and self._lingering_since is None:
             self._start_response(self._next.popleft())
+        self._count_memory()
         self.resume_body()
 
     def _begin_lingering(self):
--- a/traystall/http/server.py
+++ b/traystall/http/server.py
@@ -4,9 +4,11 @@
 import logging
 
 from traystall.core import clock, metrics
+from traystall.core.sockets import limit_receive_buffer
 from traystall.http.connection import Handler, ServerConnection
 from traystall.http.limits import ConnectionLimits
 from traystall.http.overload import TICK_SECONDS, LoadShedder
+from traystall.http.resources import RECEIVE_BUFFER_BYTES, ClientResources
 
 _SWEEP_SECONDS = 1.0
 _CLOSE_POLL_SECONDS = 0.02
@@ -28,13 +30,20 @@
 
     With `sheds_load`, new connections are closed unread while the event loop is overloaded. Reading
     them would delay the requests that were read before until their callers have left.
+
+    `resources` are those of the process, which its servers share.
     """
 
     def __init__(
-        self, handler: Handler, bounds: ConnectionLimits | None = None, sheds_load: bool = False
+        self,
+        handler: Handler,
+        bounds: ConnectionLimits | None = None,
+        sheds_load: bool = False,
+        resources: ClientResources | None = None,
     ):
         self._handler = handler
         self._limits = bounds or ConnectionLimits()
+        self._resources = resources or ClientResources()
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
@@ -46,6 +55,8 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(self._make_connection, host, int(port))
+        for sock in self._server.sockets:
+            limit_receive_buffer(sock, RECEIVE_BUFFER_BYTES)
         self._sweep_timer = loop.call_later(_SWEEP_SECONDS, self._sweep)
         if self._shedder is not None:
             self._tick()
@@ -107,7 +118,9 @@
         if self._shedder is not None and not self._shedder.admit(clock.monotonic()):
             metrics.connections_shed_total.inc({})
             return _UnreadConnection()
-        return ServerConnection(self._handler, self._limits, self._connections)
+        return ServerConnection(
+            self._handler, self._limits, self._connections, self._resources.memory
+        )
 
     def _tick(self):
         was_limiting = self._shedder.is_limiting
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -13,6 +13,7 @@
 from traystall.gateway.configuration import ConfigurationFollower
 from traystall.http.health import add_health_pages
 from traystall.http.limits import ConnectionLimits
+from traystall.http.resources import process_resources
 from traystall.http.router import Router
 from traystall.http.server import HttpServer
 from traystall.passthrough.admission.budget import RepeatBudgetRule
@@ -71,6 +72,10 @@
         self._identity = f"{settings.instance}/{new_id()}"
         self._state = "serving"
         self._started_at = clock.monotonic()
+        # Shared by everything that listens.
+        self.client_resources = process_resources(
+            settings.memory_megabytes, settings.max_descriptors
+        )
         # Control daemons to get the configuration from, updated from the group's membership.
         self.controls: list[str] = list(settings.control)
         self._configured_controls: list[str] = list(settings.control)
@@ -308,7 +313,9 @@
 
     async def _start_front(self):
         self._front = PassFrontend(self.gateway_context)
-        self._callers = HttpServer(self._front.handle, sheds_load=True)
+        self._callers = HttpServer(
+            self._front.handle, sheds_load=True, resources=self.client_resources
+        )
         self.gateway_context.follower.on_change.append(self._apply_limits)
         await self._callers.listen(self.settings.listen)
         self._health = None
@@ -318,7 +325,7 @@
             context = self.gateway_context
             BackoffPages(context.board, self.settings.secret).add_to(router)
             LimitPages(context.board, context.permits).add_to(router)
-            self._health = HttpServer(router.handle)
+            self._health = HttpServer(router.handle, resources=self.client_resources)
             await self._health.listen(self.settings.health_listen)
 
     def _apply_limits(self):
--- a/traystall/passthrough/settings.py
+++ b/traystall/passthrough/settings.py
@@ -1,6 +1,7 @@
 """Settings of a pass-through gateway."""
 
 from traystall.conf.checks import Problem, check_address, check_addresses, check_positive
+from traystall.conf.resources import RESOURCE_SETTINGS, check_resources
 from traystall.conf.settings import Setting, Settings
 
 SETTINGS = (
@@ -28,6 +29,7 @@
     ),
     Setting("drain_notice", float, "Seconds to go on accepting after a stop is asked for.", "3"),
     Setting("drain_limit", float, "Seconds for what is in flight to finish.", "30"),
+    *RESOURCE_SETTINGS,
     Setting("log_level", str, "Lowest level that is logged.", "info"),
 )
 
@@ -53,4 +55,4 @@
         )
     for name in ("repeat_window", "drain_limit", "cold_excess"):
         problems += check_positive(name, getattr(settings, name))
-    return problems
+    return problems + check_resources(settings)
