Descriptors: resting clients make room, and some are kept for targets and health

With 400 descriptors, 600 connections that sent nothing, or stopped inside a head or a body, left none for anybody: ordinary callers got no answer, targets no connection, the readiness check none either.

Cause: a descriptor was taken at each accept and none was kept. limits.max-fds was read nowhere.

Change: each address has a number of connections from the settings (max_descriptors): three eighths for clients, bounded by what the kernel may keep of them unread, a sixteenth for each other address. Beyond it those are closed that have rested longest (choose_resting, pure), several at once so that a flood does not search them for each newcomer; never one whose request is handled. If all are handled, the newcomer is closed unread, which callers may take elsewhere.

--- a/tests/http/test_bounds.py
+++ b/tests/http/test_bounds.py
@@ -31,9 +31,9 @@
 class _Site:
     """A server with limits, whose handler answers the size of a body or why there is none."""
 
-    def __init__(self, limits=None, resources=None):
+    def __init__(self, limits=None, resources=None, is_main=True):
         limits = limits or ConnectionLimits(head_bytes=_HEAD_BYTES)
-        self.server = HttpServer(self._handle, limits, resources=resources)
+        self.server = HttpServer(self._handle, limits, resources=resources, is_main=is_main)
         self.bodies = []
         self.may_answer = asyncio.Event()
         self.may_answer.set()
@@ -294,6 +294,37 @@
     assert run(scenario()) == 0
 
 
+@pytest.mark.parametrize("data", [b"", _GET[:-2], _announced(4096, 1024)])
+def test_resting_connections_make_room_for_new_ones(data):
+    async def scenario():
+        resources = ClientResources(descriptors=64)
+        async with _Site(resources=resources) as site:
+            for _ in range(60):
+                await site.connect(data)
+                await asyncio.sleep(0.001)
+            assert len(site.server._connections) <= resources.max_client_connections
+            return await _ask(site, _GET)
+
+    assert run(scenario()) == 200
+
+
+def test_new_connections_are_refused_while_all_others_are_handled():
+    async def scenario():
+        resources = ClientResources(descriptors=64)
+        async with _Site(resources=resources) as site:
+            site.may_answer.clear()
+            count = int(resources.max_client_connections)
+            readers = [await site.connect(_GET) for _ in range(count)]
+            await site.until(lambda: len(site.bodies) == count)
+            refused = await site.connect(_GET)
+            with contextlib.suppress(ConnectionError):
+                assert await refused.read() == b""
+            site.may_answer.set()
+            return {(await _answer(reader))[0] for reader in readers}
+
+    assert run(scenario()) == {200}
+
+
 def test_parser_reports_an_error_of_a_callback_as_a_refusal():
     connection = ServerConnection(None, ConnectionLimits(head_bytes=5), set())
 
--- a/traystall/control/daemon.py
+++ b/traystall/control/daemon.py
@@ -258,7 +258,7 @@
         router = Router()
         add_health_pages(router, self.node.is_fresh)
         add_target_calls(router, self.registry)
-        self._http = HttpServer(router.handle, resources=self.client_resources)
+        self._http = HttpServer(router.handle, resources=self.client_resources, is_main=True)
         await self._http.listen(self._settings.http_listen)
 
 
--- a/traystall/http/server.py
+++ b/traystall/http/server.py
@@ -6,6 +6,7 @@
 from traystall.core import clock, metrics
 from traystall.core.sockets import limit_receive_buffer
 from traystall.http.connection import Handler, ServerConnection
+from traystall.http.crowding import choose_resting
 from traystall.http.limits import ConnectionLimits
 from traystall.http.overload import TICK_SECONDS, LoadShedder
 from traystall.http.resources import RECEIVE_BUFFER_BYTES, ClientResources
@@ -31,7 +32,8 @@
     With `sheds_load`, new connections are closed unread while the event loop is overloaded. Reading
     them would delay the requests that were read before until their callers have left.
 
-    `resources` are those of the process, which its servers share.
+    `resources` are those of the process, which its servers share. The `is_main` one, for clients of
+    which there are many, gets most of the connections.
     """
 
     def __init__(
@@ -40,10 +42,16 @@
         bounds: ConnectionLimits | None = None,
         sheds_load: bool = False,
         resources: ClientResources | None = None,
+        is_main: bool = False,
     ):
         self._handler = handler
         self._limits = bounds or ConnectionLimits()
         self._resources = resources or ClientResources()
+        self._max_connections = (
+            self._resources.max_client_connections
+            if is_main
+            else self._resources.max_other_connections
+        )
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
@@ -118,10 +126,23 @@
         if self._shedder is not None and not self._shedder.admit(clock.monotonic()):
             metrics.connections_shed_total.inc({})
             return _UnreadConnection()
+        if len(self._connections) >= self._max_connections and not self._make_room():
+            metrics.connections_given_up_total.inc({"why": "refused"})
+            return _UnreadConnection()
         return ServerConnection(
             self._handler, self._limits, self._connections, self._resources.memory
         )
 
+    def _make_room(self):
+        """Close the connections that have rested longest; return whether there were any."""
+        resting = choose_resting(self._connections, self._max_connections)
+        for connection in resting:
+            metrics.connections_given_up_total.inc({"why": "descriptors"})
+            # It counts no more from now on, although it is closed a moment later.
+            self._connections.discard(connection)
+            connection.abort()
+        return bool(resting)
+
     def _tick(self):
         was_limiting = self._shedder.is_limiting
         self._shedder.on_tick(clock.monotonic())
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -314,7 +314,7 @@
     async def _start_front(self):
         self._front = PassFrontend(self.gateway_context)
         self._callers = HttpServer(
-            self._front.handle, sheds_load=True, resources=self.client_resources
+            self._front.handle, sheds_load=True, resources=self.client_resources, is_main=True
         )
         self.gateway_context.follower.on_change.append(self._apply_limits)
         await self._callers.listen(self.settings.listen)
