Links: a first frame is limited before it is read, and silent peers are closed

Ten peers that announced a first frame of 60 MB at the port between our processes took 664 MB at a gateway whose machine has 160; 600 that sent nothing there took all of 400 descriptors.

Cause: the greeting is checked once its frame is in memory, and a frame may have 64 MB. A link without a greeting ended after 5 s, whatever their number.

Change: the first frame may have 16 KB. Nothing between our processes changes.

--- a/traystall/control/daemon.py
+++ b/traystall/control/daemon.py
@@ -113,6 +113,7 @@
             settings.cluster,
             settings.secret,
             self.service.handle,
+            max_ungreeted=self.client_resources.max_other_connections,
         )
         await self._server.start()
         self.node.start()
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -117,6 +117,7 @@
             settings.secret,
             self._answer_peer,
             self._tunnels.open,
+            self.client_resources.max_other_connections,
         )
         await self._server.start()
         # Connections are accepted at once: requests wait a moment for the first configuration.
--- a/traystall/rpc/framing.py
+++ b/traystall/rpc/framing.py
@@ -24,18 +24,20 @@
     return size
 
 
-async def read_frame(reader: asyncio.StreamReader) -> Frame:
-    """Return the next frame; raise RpcError if it is oversized or malformed."""
-    frame, _ = await read_sized_frame(reader)
+async def read_frame(reader: asyncio.StreamReader, limit: int = MAX_FRAME_BYTES) -> Frame:
+    """Return the next frame; raise RpcError if it is over `limit` bytes or malformed."""
+    frame, _ = await read_sized_frame(reader, limit)
     return frame
 
 
-async def read_sized_frame(reader: asyncio.StreamReader) -> tuple[Frame, int]:
+async def read_sized_frame(
+    reader: asyncio.StreamReader, limit: int = MAX_FRAME_BYTES
+) -> tuple[Frame, int]:
     """Return the next frame and its size in bytes; raise as `read_frame` does."""
     prefix = await reader.readexactly(_LENGTH_BYTES)
     length = int.from_bytes(prefix, "big")
-    if length > MAX_FRAME_BYTES:
-        raise RpcError(f"A frame of {length} bytes is over the limit of {MAX_FRAME_BYTES}.")
+    if length > limit:
+        raise RpcError(f"A frame of {length} bytes is over the limit of {limit}.")
     data = await reader.readexactly(length)
     size = length + _LENGTH_BYTES
     try:
--- a/traystall/rpc/server.py
+++ b/traystall/rpc/server.py
@@ -13,6 +13,9 @@
 from traystall.rpc.messages import REQUEST_TYPES, decode, encode
 
 _HELLO_TIMEOUT_SECONDS = 5.0
+# Before its greeting a peer may be anyone.
+MAX_HELLO_BYTES = 16 * 1024
+_MAX_UNGREETED_LINKS = 256
 # Error code for a message that can't be decoded or lacks a required field.
 BAD_MESSAGE = "bad-message"
 
@@ -27,9 +30,18 @@
     """Serve framed calls; `handler(request)` returns a reply message or raises RpcRefused.
 
     `open_tunnel(request)` returns a `Tunnel` or raises RpcRefused. Without it, tunnels are refused.
+    Of more than `max_ungreeted` links without a greeting, the oldest are closed.
     """
 
-    def __init__(self, address: str, cluster: str, secret: str, handler, open_tunnel=None):
+    def __init__(
+        self,
+        address: str,
+        cluster: str,
+        secret: str,
+        handler,
+        open_tunnel=None,
+        max_ungreeted: float = _MAX_UNGREETED_LINKS,
+    ):
         self._address = address
         self._cluster = cluster
         self._secret = secret
@@ -37,6 +49,9 @@
         self._open_tunnel = open_tunnel or _refuse_tunnel
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
+        # Links whose peer has not greeted yet, the oldest first.
+        self._ungreeted: dict[asyncio.Task, asyncio.StreamWriter] = {}
+        self._max_ungreeted = max_ungreeted
 
     async def start(self) -> None:
         """Bind the address and begin to accept links."""
@@ -55,7 +70,10 @@
         self._tasks.add(task)
         enable_dead_peer_detection(writer.transport)
         try:
+            self._ungreeted[task] = writer
+            self._close_ungreeted()
             hello = await self._read_hello(reader, writer)
+            self._ungreeted.pop(task, None)
             if hello is not None:
                 traffic.watch_accepted(writer, hello.role)
                 await self._serve_frames(reader, writer)
@@ -67,13 +85,21 @@
             logger.warning("link closed", extra={"why": str(error)})
         finally:
             self._tasks.discard(task)
+            self._ungreeted.pop(task, None)
             traffic.unwatch(writer)
             writer.close()
 
+    def _close_ungreeted(self):
+        """Close the oldest links without a greeting; silent peers must not use up descriptors."""
+        while len(self._ungreeted) > self._max_ungreeted:
+            writer = self._ungreeted.pop(next(iter(self._ungreeted)))
+            logger.info("link closed", extra={"why": "Too many links wait for a greeting."})
+            writer.transport.abort()
+
     async def _read_hello(self, reader, writer) -> Hello | None:
         """Return the `Hello` of a link, or refuse the link and return None."""
         async with PeerTimeout(_HELLO_TIMEOUT_SECONDS):
-            frame = await read_frame(reader)
+            frame = await read_frame(reader, MAX_HELLO_BYTES)
         if frame.method != Method.HELLO:
             raise RpcError("A link must open with a greeting.")
         hello = decode(Hello, frame.body)
