Large answers: read from targets one after the other, and given back when they are freed

Sixty small requests for answers of 4 MB, which their clients never read, took 315 MB at a gateway whose machine has 160.

Cause: an answer is kept whole until its end is known, and nothing bounded how many at once. Its parts were joined at the end, with as many blocks freed between others; and the C library keeps freed blocks of some megabytes once it has seen one.

Change: AnswerRoom lets answers over 64 KB grow within a twentieth of the memory; the others wait, unread, and the oldest never does, so that one always ends. A body is collected in one buffer, with 64 KB of a target's answer read ahead and in the kernel. Blocks over 128 KB are mapped one by one.

--- a/traystall/core/daemon.py
+++ b/traystall/core/daemon.py
@@ -8,6 +8,7 @@
 import aiomisc
 import uvloop
 
+from traystall.core import allocator
 from traystall.core.exceptions import StorageError
 
 EXIT_FAILED = 1
@@ -67,6 +68,8 @@
 
     Return the exit code of the process.
     """
+    if not allocator.return_large_blocks():
+        logger.info("freed memory may stay with the process")
     entrypoint = aiomisc.entrypoint(
         service, pool_size=_THREAD_POOL_SIZE, log_config=False, loop_factory=uvloop.new_event_loop
     )
--- a/traystall/passthrough/context.py
+++ b/traystall/passthrough/context.py
@@ -15,6 +15,7 @@
 from traystall.gateway.configuration import ConfigurationFollower
 from traystall.passthrough.admission.budget import RepeatBudget, RepeatBudgetRule
 from traystall.passthrough.dialect import HeaderNames, StageDialect
+from traystall.passthrough.exchange.answer_room import AnswerRoom
 from traystall.passthrough.health.board import TargetBoard, TargetView
 from traystall.passthrough.health.cold import ColdStartLimit
 from traystall.passthrough.health.cold_targets import ColdStartLimiter
@@ -89,6 +90,7 @@
         self.follower: ConfigurationFollower | None = None
         self.registry: RegistryFollower | None = None
         self.owners = OwnerSelector(self)
+        self.answer_room = AnswerRoom()
         self.batcher = None
         self.placement_service = None
         self.guard: RequestGuard | None = None
--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -21,6 +21,7 @@
 from traystall.passthrough.dialect import HeaderNames, PlainStageDialect, StageDialect
 from traystall.passthrough.entry.drain import Drain
 from traystall.passthrough.entry.front import PassFrontend
+from traystall.passthrough.exchange.answer_room import AnswerRoom
 from traystall.passthrough.health.cold import ColdStartLimit
 from traystall.passthrough.health.pages import BackoffPages, LimitPages
 from traystall.passthrough.health.probing import DataCentreProber
@@ -96,6 +97,7 @@
             rule,
             ColdStartLimit(settings.cold_excess, settings.cold_slack),
         )
+        self.gateway_context.answer_room = AnswerRoom(self.client_resources.answer_bytes)
         key = make_key(settings.cluster, settings.secret)
         self.gateway_context.digest_key = key
         leader = LeaderLink(self._links, self.controls, _LEADER_TIMEOUT_SECONDS)
--- a/traystall/passthrough/exchange/attempt.py
+++ b/traystall/passthrough/exchange/attempt.py
@@ -9,6 +9,7 @@
 from traystall.core.peer_timeout import PeerTimeout
 from traystall.passthrough.dialect import HeaderNames
 from traystall.passthrough.exceptions import NoAnswer, TargetHeldBack
+from traystall.passthrough.exchange.answer_room import AnswerRoom
 from traystall.passthrough.exchange.connection import ResponseHead, SentRequest, TargetConnection
 from traystall.passthrough.health.board import TargetView
 from traystall.permits.exceptions import PermitDenied
@@ -191,10 +192,13 @@
         return await self.read_body(await self.read_head(), MAX_OWN_RESPONSE_BYTES)
 
     async def read_body(
-        self, head: ResponseHead, limit: int = MAX_RESPONSE_BYTES
+        self,
+        head: ResponseHead,
+        limit: int = MAX_RESPONSE_BYTES,
+        room: AnswerRoom | None = None,
     ) -> TargetResponse:
-        """Read the body that belongs to `head`, of at most `limit` bytes."""
-        body = await self._connection.body(limit)
+        """Read the body that belongs to `head`, of at most `limit` bytes, into `room` if given."""
+        body = await self._connection.body(limit, room)
         self._is_complete = True
         return TargetResponse(head, body)
 
--- a/traystall/passthrough/exchange/connection.py
+++ b/traystall/passthrough/exchange/connection.py
@@ -17,6 +17,7 @@
 from traystall.core.sockets import (
     TARGET_UNACKNOWLEDGED_TIMEOUT_MS,
     enable_dead_peer_detection,
+    limit_receive_buffer,
     reset_on_close,
 )
 from traystall.passthrough.exceptions import (
@@ -25,9 +26,12 @@
     NoAnswer,
     TunnelClosed,
 )
+from traystall.passthrough.exchange.answer_room import AnswerRoom
 
 # Reading from the socket pauses while more bytes than this are buffered and not yet consumed.
-_HIGH_WATER_BYTES = 256 * 1024
+_HIGH_WATER_BYTES = 64 * 1024
+# What the kernel keeps besides, of a response that is not read.
+_RECEIVE_BUFFER_BYTES = 64 * 1024
 # Bytes without any body in a row: of a head with the interim responses before it, of trailers, or
 # between two chunks. A target that sends more of them sends no response.
 MAX_HEAD_BYTES = 64 * 1024
@@ -99,6 +103,7 @@
 
 
 _NO_OBSERVER = ConnectionObserver()
+_ANY_ROOM = AnswerRoom()
 
 
 class _EndOfMessage:
@@ -182,16 +187,19 @@
             raise NoAnswer("Another answer came inside one.", sent=True)
         return item
 
-    async def body(self, limit: int) -> bytes:
-        """Return the complete body; raise NoAnswer if it exceeds `limit` bytes."""
-        parts = []
-        size = 0
-        while part := await self.chunk():
-            parts.append(part)
-            size += len(part)
-            if size > limit:
-                raise NoAnswer(f"The answer is over {limit} bytes.", sent=True)
-        return b"".join(parts)
+    async def body(self, limit: int, room: AnswerRoom | None = None) -> bytes:
+        """Return the complete body; raise NoAnswer if it exceeds `limit` bytes.
+
+        A large one takes its memory from `room`, and is not read on while there is none.
+        """
+        body = bytearray()
+        with (room or _ANY_ROOM).hold() as held:
+            while part := await self.chunk():
+                body += part
+                if len(body) > limit:
+                    raise NoAnswer(f"The answer is over {limit} bytes.", sent=True)
+                await held.grow(len(body))
+            return bytes(body)
 
     def is_reusable(self, head: ResponseHead) -> bool:
         """Return whether another request may follow the response that was just read."""
@@ -217,6 +225,7 @@
     def connection_made(self, transport):
         """Store the transport and enable the detection of silent peers."""
         self.transport = transport
+        limit_receive_buffer(transport.get_extra_info("socket"), _RECEIVE_BUFFER_BYTES)
         enable_dead_peer_detection(transport, TARGET_UNACKNOWLEDGED_TIMEOUT_MS)
 
     def data_received(self, data):
--- a/traystall/passthrough/exchange/runner.py
+++ b/traystall/passthrough/exchange/runner.py
@@ -453,7 +453,7 @@
         self._context.places.on_response(view.report.data_centre)
         if passed.route.streamed and is_success(head, self._context.names):
             return await self._relay_events(waiting)
-        response = await attempt.read_body(head)
+        response = await attempt.read_body(head, room=self._context.answer_room)
         failure = self._classify_response(view, attempt, response)
         if failure is not None:
             passed.may_have_run |= failure.kind is not FailureKind.NOT_RUN
