Soak among hostile clients: wait for the gateway after the last restart

The ordinary request afterwards then met an address where nothing listened yet; its four tries take 0.8 s if they are refused at once.

--- a/tests/support/hostile_clients.py
+++ b/tests/support/hostile_clients.py
@@ -19,9 +19,9 @@
 _SETTLE_SECONDS = 30.0
 # How long the crowd goes on after that before anything is checked.
 _HOLD_SECONDS = 3.0
+# Time for aborted connections to close.
+_CLOSE_SECONDS = 0.05
 _PIECE_BYTES = 64 * 1024
-# Receive buffer of members that don't read, so that answers stay with the server.
-_SMALL_BUFFER_BYTES = 4096
 
 
 class Peer:
@@ -92,6 +92,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.sleep(_CLOSE_SECONDS)
 
     def _settle(self, number):
         self._unsettled.discard(number)
--- a/tests/support/hostile_soak.py
+++ b/tests/support/hostile_soak.py
@@ -62,6 +62,8 @@
             for caller in callers:
                 caller.cancel()
             await asyncio.gather(*callers, return_exceptions=True)
+            # The last restart may have been a moment ago.
+            await site.until_ready()
             self._check_gateway("at the end")
             if await site.ask() != (200, b"answer to x"):
                 self.problems.append("no ordinary answer afterwards")
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -312,11 +312,15 @@
                 return response.status
         return 0
 
-    async def _until_served(self):
+    async def until_ready(self) -> None:
+        """Return once the gateway says that it is ready; fail after some time."""
         address = self.gateway.address(READY_PORT)
         await asyncio.to_thread(
             wait_until, lambda: get(address, "/traystall/ready")[0] == 200, "a ready gateway"
         )
+
+    async def _until_served(self):
+        await self.until_ready()
         deadline = time.monotonic() + _START_SECONDS
         while (await self._try(b"x", "/plain/1"))[0] != 200:
             assert time.monotonic() < deadline, self.gateway.log()[-2000:]
