--- a/traystall/core/metrics.py
+++ b/traystall/core/metrics.py
@@ -74,6 +74,10 @@
 tunnels_total = Counter(
     "traystall_tunnels_total", "Connections to targets opened through another gateway, by pool."
 )
+responses_total = Counter(
+    "traystall_responses_total",
+    "Responses of targets, by path (direct or tunnel) and what ended them.",
+)
 limited_targets = Gauge(
     "traystall_limited_targets", "Targets that name a limit for all gateways together."
 )
--- a/traystall/passthrough/exchange/attempt.py
+++ b/traystall/passthrough/exchange/attempt.py
@@ -10,7 +10,12 @@
 from traystall.passthrough.dialect import HeaderNames
 from traystall.passthrough.exceptions import NoAnswer, TargetHeldBack
 from traystall.passthrough.exchange.answer_room import AnswerRoom
-from traystall.passthrough.exchange.connection import ResponseHead, SentRequest, TargetConnection
+from traystall.passthrough.exchange.connection import (
+    ResponseEnd,
+    ResponseHead,
+    SentRequest,
+    TargetConnection,
+)
 from traystall.passthrough.health.board import TargetView
 from traystall.permits.exceptions import PermitDenied
 from traystall.permits.leases import Lease
@@ -70,6 +75,9 @@
         # Whether the target, or most of its pool, was silent while this attempt waited for data.
         self.was_silent = False
         self.sent_at = 0.0
+        # What ended the response, and the gateway that tunnelled it; for logs, set on exit.
+        self.ended_by: ResponseEnd | None = None
+        self.via = ""
 
     async def __aenter__(self):
         return self
@@ -83,6 +91,7 @@
             self.view.leases.give_back(self._lease)
         if connection is None:
             return
+        self._record_end(connection)
         if not self.was_sent:
             self.view.connections.return_unused(connection)
         elif self._is_complete and error is None:
@@ -90,6 +99,14 @@
         else:
             self.view.connections.discard(connection)
 
+    def _record_end(self, connection):
+        """Record how the response came and what ended it."""
+        if not self.was_sent:
+            return
+        self.via, self.ended_by = connection.via, connection.ended_by
+        path = "tunnel" if connection.via else "direct"
+        metrics.responses_total.inc({"path": path, "ended_by": connection.ended_by.value})
+
     @property
     def is_open(self) -> bool:
         """Return whether it has a connection."""
--- a/traystall/passthrough/exchange/connection.py
+++ b/traystall/passthrough/exchange/connection.py
@@ -9,6 +9,7 @@
 import errno
 from collections import deque
 from collections.abc import Callable
+from enum import StrEnum
 
 import httptools
 import msgspec
@@ -42,6 +43,23 @@
 _BODILESS_STATUSES = (204, 304)
 
 
+class ResponseEnd(StrEnum):
+    """What ended the exchange on a connection, for logs and metrics.
+
+    LENGTH: all bytes of the length that the head names, or a head without a body.
+    LAST_CHUNK: the last chunk.
+    CLOSE: the close of the connection, for a response with neither a length nor chunks.
+    LOST: the connection ended before the response did.
+    GIVEN_UP: this gateway closed the connection before the response ended.
+    """
+
+    LENGTH = "length"
+    LAST_CHUNK = "last-chunk"
+    CLOSE = "close"
+    LOST = "lost"
+    GIVEN_UP = "given-up"
+
+
 class ResponseHead(msgspec.Struct):
     """Hold the status and headers of a response; header names keep the case of the target."""
 
@@ -137,6 +155,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._in_message = False
         self._until_close = False
+        self._is_chunked = False
         self._is_skipped = False
         # Bytes received since the last byte of a body, and whether the last bytes held a part of a
         # response.
@@ -144,6 +163,8 @@
         self._has_progressed = False
         self._had_eof = False
         self._paused = False
+        # What ended the last response.
+        self.ended_by = ResponseEnd.GIVEN_UP
 
     # ---- interface for attempts ----
 
@@ -155,6 +176,7 @@
         self.requests += 1
         self.sent_request = sent_request
         self._bytes_without_body = 0
+        self.ended_by = ResponseEnd.GIVEN_UP
         self._observer.on_send(self)
         self.transport.write(data)
 
@@ -252,10 +274,13 @@
 
     def connection_lost(self, exc):
         """Complete a body that is delimited by the close, or fail the pending read."""
+        if self.ended_by is ResponseEnd.GIVEN_UP and not self.is_closed:
+            self.ended_by = ResponseEnd.LOST
         self.is_closed = True
         whole = self._in_message and self._until_close and self._had_eof and exc is None
         if whole:
             self._in_message = False
+            self.ended_by = ResponseEnd.CLOSE
             self._enqueue(_END_OF_MESSAGE)
         silent = isinstance(exc, OSError) and exc.errno == errno.ETIMEDOUT
         self._fail(
@@ -284,7 +309,8 @@
         self._is_skipped = is_refused or 100 <= status < 200
         if self._is_skipped:
             return
-        framed = b"content-length" in names or b"transfer-encoding" in names
+        self._is_chunked = b"transfer-encoding" in names
+        framed = b"content-length" in names or self._is_chunked
         self._until_close = not framed and status not in _BODILESS_STATUSES
         head = ResponseHead(
             status, self._headers, self._parser.should_keep_alive(), self._until_close
@@ -307,6 +333,7 @@
         self._has_progressed = True
         self._in_message = False
         if not self._is_skipped:
+            self.ended_by = ResponseEnd.LAST_CHUNK if self._is_chunked else ResponseEnd.LENGTH
             self._enqueue(_END_OF_MESSAGE)
 
     # ---- helpers ----
--- a/traystall/passthrough/exchange/runner.py
+++ b/traystall/passthrough/exchange/runner.py
@@ -398,6 +398,8 @@
                 target_data_centre=view.report.data_centre,
                 target_version=view.report.version,
                 seconds=round(clock.monotonic() - began, 4),
+                via=attempt.via or None,
+                ended_by=attempt.ended_by,
             )
 
     def _on_superseded(self, passed, view, prepared):
--- a/traystall/passthrough/tunnels/service.py
+++ b/traystall/passthrough/tunnels/service.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+from enum import StrEnum
 
 import httptools
 
 from traystall.core import clock
 from traystall.core.exceptions import RpcRefused
+from traystall.core.logs import decision
 from traystall.core.peer_timeout import PeerTimeout
 from traystall.core.sockets import (
     PEER_CHECK_SECONDS,
@@ -38,6 +40,23 @@
 _REFUSAL_SECONDS = 1.0
 
 
+class TunnelEnd(StrEnum):
+    """What ended a tunnel, for logs.
+
+    TARGET_CLOSED: the target closed its connection in order.
+    TARGET_LOST: the connection to the target was reset or timed out.
+    GATEWAY_CLOSED: the gateway in front closed the tunnel, or is lost.
+    REFUSED: this gateway takes no more requests in it.
+    STOPPED: this gateway stops.
+    """
+
+    TARGET_CLOSED = "target-closed"
+    TARGET_LOST = "target-lost"
+    GATEWAY_CLOSED = "gateway-closed"
+    REFUSED = "refused"
+    STOPPED = "stopped"
+
+
 class TunnelService:
     """Open tunnels for other gateways, and close them when this gateway stops."""
 
@@ -70,7 +89,7 @@
             writer.transport.abort()
             raise RpcRefused(LEAVING, "This gateway is about to stop.")
         enable_dead_peer_detection(writer.transport, TARGET_UNACKNOWLEDGED_TIMEOUT_MS)
-        tunnel = Tunnel(self._context, view, reader, writer, self._tunnels)
+        tunnel = Tunnel(self._context, view, reader, writer, self._tunnels, request.target)
         self._tunnels.add(tunnel)
         return tunnel
 
@@ -100,7 +119,7 @@
     The target's notices concern this gateway too, because the target knows no other peer.
     """
 
-    def __init__(self, context, view, reader, writer, tunnels: set["Tunnel"]):
+    def __init__(self, context, view, reader, writer, tunnels: set["Tunnel"], target: str = ""):
         self.view = view
         self.is_closed = False
         # Whether the last request has its complete response.
@@ -108,12 +127,14 @@
         # What the board and the notices ask of a connection to a target.
         self.sent_request = SentRequest(is_work=False, is_covered=True)
         self._context = context
+        self._target = target
         self._reader = reader
         self._writer = writer
         self._tunnels = tunnels
         self._gateway_writer: asyncio.StreamWriter | None = None
         self._has_head = True
         self._is_refusing = False
+        self._ended_by = TunnelEnd.STOPPED
         self._headers: list[tuple[bytes, bytes]] = []
         self._parser: httptools.HttpResponseParser | None = None
 
@@ -128,6 +149,8 @@
         responses = asyncio.create_task(self._forward_responses())
         try:
             await asyncio.wait({requests, responses}, return_when=asyncio.FIRST_COMPLETED)
+            if requests.done() and not responses.done():
+                self._ended_by = TunnelEnd.GATEWAY_CLOSED
         finally:
             for task in (requests, responses):
                 task.cancel()
@@ -141,6 +164,7 @@
         if self._is_refusing:
             return
         self._is_refusing = True
+        self._ended_by = TunnelEnd.REFUSED
         if self._gateway_writer is not None:
             self._write_refusal()
         asyncio.get_running_loop().call_later(_REFUSAL_SECONDS, self.close)
@@ -150,6 +174,8 @@
         if self.is_closed:
             return
         self.is_closed = True
+        # `idle` is false if a response was cut off.
+        decision("tunnel-closed", target=self._target, ended_by=self._ended_by, idle=self.is_idle)
         self._tunnels.discard(self)
         self._writer.transport.abort()
         if self._gateway_writer is not None:
@@ -213,7 +239,9 @@
                 self._parse(data)
                 self._gateway_writer.write(data)
                 await self._gateway_writer.drain()
+            self._ended_by = TunnelEnd.TARGET_CLOSED
         except OSError:
+            self._ended_by = TunnelEnd.TARGET_LOST
             # Ended in order, a response without a length would look complete.
             self.reset()
 
