--- a/tests/support/emulator/runner.py
+++ b/tests/support/emulator/runner.py
@@ -15,6 +15,9 @@
 BRITTLE_HEADER = "Traystall-Brittle"
 # A brittle target ends when it rejects more requests than it tolerates within this time.
 _REJECTION_WINDOW_SECONDS = 1.0
+# Number of parts of a body that is written slowly, and the pause after each.
+_SLOW_PARTS = 8
+_SLOW_PART_SECONDS = 0.1
 FAULTS = (
     "none",
     "not run",
@@ -31,6 +34,7 @@
     "answered twice",
     "unframed",
     "unframed and reset",
+    "unframed slowly",
     "unsigned",
     "encoded",
     "silent",
@@ -324,6 +328,9 @@
                 await asyncio.sleep(0.02)
                 _reset(writer)
             return False
+        if fault == "unframed slowly":
+            await self._answer_slowly(writer, request, body)
+            return False
         if fault in ("reset in the body", "cut in the body"):
             self._write_head(writer, request, 200, len(body), {})
             writer.write(body[: len(body) // 2])
@@ -339,6 +346,15 @@
             self._answer(writer, request, 200, b"once more")
         return True
 
+    async def _answer_slowly(self, writer, request, body):
+        """Write a body without a length in parts, with a pause after each."""
+        self._write_head(writer, request, 200, None, {})
+        size = -(-len(body) // _SLOW_PARTS)
+        for start in range(0, len(body), size):
+            writer.write(body[start : start + size])
+            await writer.drain()
+            await asyncio.sleep(_SLOW_PART_SECONDS)
+
     def _answer(self, writer, request, status, body, extra=None, signed=True):
         self._write_head(writer, request, status, len(body), extra or {}, signed)
         writer.write(body)
