Tunnels: the end of a response is told by the carrying gateway, not by its connection

Callers saw streams that ended as complete before their last event, and plain answers cut short, when the gateway that carried them through a tunnel was killed.

Cause: a tunnel forwarded bare bytes, so that a response without a length ended with the connection between the two gateways. A kernel closes the sockets of a killed process in order, which looks like the end that the target means.

Change: responses come in frames with a length, and an end mark only after the target has closed its connection in order. Without the mark every end of the tunnel, in order or not, breaks such a response: killed, stopped and killed, cancelled, refused, given up for silence or descriptors. Requests go bare as before. Both ends say in the handshake that they know frames (optional fields). With a carrier of an earlier release the end of the connection ends no response; a carrier of this release resets the tunnel of an earlier gateway in front before it sends the head of a response without a length.

--- a/tests/passthrough/test_response_ends_in_logs.py
+++ b/tests/passthrough/test_response_ends_in_logs.py
@@ -1,5 +1,6 @@
 """The log says through which gateway a response came and what ended it."""
 
+import asyncio
 import logging
 
 import pytest
@@ -54,6 +55,10 @@
         runner = await start_with_tunnels(site)
         runner.faults.append(fault)
         await site.call(0, "/once/x")
+        async with asyncio.timeout(5):
+            # The response is complete before the gateway of the tunnel has closed it.
+            while not any(record.message == "tunnel-closed" for record in caplog.records):
+                await asyncio.sleep(0.01)
         closed = last_record(caplog, "tunnel-closed")
         assert (closed.target, closed.ended_by) == (runner.identity, ended_by)
 
--- a/traystall/passthrough/exchange/connection.py
+++ b/traystall/passthrough/exchange/connection.py
@@ -120,6 +120,13 @@
     on_data: Callable[[], None] = lambda: None
 
 
+def ends_with_connection(status: int, headers: list[tuple[bytes, bytes]]) -> bool:
+    """Return whether the body of a response lasts until its connection closes (RFC 9112, 6.3)."""
+    names = {name.lower() for name, _ in headers}
+    is_delimited = b"content-length" in names or b"transfer-encoding" in names
+    return not is_delimited and status not in _BODILESS_STATUSES
+
+
 _NO_OBSERVER = ConnectionObserver()
 _ANY_ROOM = AnswerRoom()
 
@@ -135,11 +142,19 @@
     """Exchange requests and responses with one target, one at a time.
 
     `via` is the identity of the gateway that tunnels the connection, or empty for a direct one.
+    `is_close_an_end` is false if the target may not be the one that closes the connection; a body
+    that lasts until then is never complete.
     """
 
-    def __init__(self, observer: ConnectionObserver = _NO_OBSERVER, via: str = ""):
+    def __init__(
+        self,
+        observer: ConnectionObserver = _NO_OBSERVER,
+        via: str = "",
+        is_close_an_end: bool = True,
+    ):
         self._observer = observer
         self.via = via
+        self._is_close_an_end = is_close_an_end
         self.transport: asyncio.Transport | None = None
         self.is_closed = False
         self.is_idle = False
@@ -269,7 +284,7 @@
 
     def eof_received(self):
         """Record that the target closed its side in order, and close the connection."""
-        self._had_eof = True
+        self._had_eof = self._is_close_an_end
         return False
 
     def connection_lost(self, exc):
@@ -310,8 +325,7 @@
         if self._is_skipped:
             return
         self._is_chunked = b"transfer-encoding" in names
-        framed = b"content-length" in names or self._is_chunked
-        self._until_close = not framed and status not in _BODILESS_STATUSES
+        self._until_close = ends_with_connection(status, self._headers)
         head = ResponseHead(
             status, self._headers, self._parser.should_keep_alive(), self._until_close
         )
--- a/traystall/passthrough/tunnels/client.py
+++ b/traystall/passthrough/tunnels/client.py
@@ -1,18 +1,22 @@
 """Open a tunnel: ask another gateway for a connection to a target."""
 
 import asyncio
+import logging
 
 from traystall.core.exceptions import RpcError, RpcRefused, RpcUnavailable
 from traystall.core.peer_timeout import PeerTimeout
 from traystall.passthrough.exchange.connection import ConnectionObserver, TargetConnection
+from traystall.passthrough.tunnels.framing import FrameDecoder
 from traystall.rpc.client import LinkIdentity
 from traystall.rpc.framing import split_frame, write_frame
-from traystall.rpc.gen.wire.ttypes import Frame, Method, TunnelRequest
-from traystall.rpc.messages import encode
+from traystall.rpc.gen.wire.ttypes import Frame, Method, TunnelReply, TunnelRequest
+from traystall.rpc.messages import decode, encode
 from traystall.tables.gateways import GatewayRow
 
 _CALL_ID = 1
 
+logger = logging.getLogger(__name__)
+
 
 class _Handshake(asyncio.Protocol):
     """Read the frame that accepts or refuses a tunnel, and keep the bytes that follow it."""
@@ -43,12 +47,49 @@
         if not self.reply.done():
             self.reply.set_exception(RpcUnavailable(f"The gateway closed: {exc or 'no reason'}."))
 
-    def hand_over(self, transport, connection: TargetConnection) -> None:
-        """Let `connection` continue on the transport."""
-        transport.set_protocol(connection)
-        connection.connection_made(transport)
+    def hand_over(self, transport, protocol: asyncio.Protocol) -> None:
+        """Let `protocol` continue on the transport."""
+        transport.set_protocol(protocol)
+        protocol.connection_made(transport)
         if self._received:
-            connection.data_received(bytes(self._received))
+            protocol.data_received(bytes(self._received))
+
+
+class _FramedTunnel(asyncio.Protocol):
+    """Hand what the frames of a tunnel carry to the connection to a target.
+
+    Only the end mark ends the target's side in order; without it the end of the tunnel breaks a
+    response that lasts until the target closes.
+    """
+
+    def __init__(self, connection: TargetConnection):
+        self._connection = connection
+        self._decoder = FrameDecoder()
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport):
+        """Give the transport to the connection, which writes requests to it as they are."""
+        self._transport = transport
+        self._connection.connection_made(transport)
+
+    def data_received(self, data):
+        """Pass on the contents of frames, and the end mark as the target's close."""
+        try:
+            for content in self._decoder.feed(data):
+                if self._transport.is_closing():
+                    return
+                self._connection.data_received(content)
+        except RpcError as error:
+            logger.warning("tunnel closed", extra={"why": str(error)})
+            self._transport.abort()
+            return
+        if self._decoder.has_ended:
+            self._connection.eof_received()
+            self._transport.abort()
+
+    def connection_lost(self, exc):
+        """Pass on the end; TargetConnection takes it for an orderly one after the end mark only."""
+        self._connection.connection_lost(exc)
 
 
 async def open_tunnel(
@@ -76,8 +117,10 @@
             raise RpcRefused(reply.error, reply.detail or "")
         if transport.is_closing():
             raise RpcUnavailable(f"The tunnel through {gateway.instance} broke.")
-        connection = TargetConnection(observer, gateway.identity)
-        handshake.hand_over(transport, connection)
+        is_framed = bool(decode(TunnelReply, reply.body).framed)
+        # A gateway of an earlier release forwards bytes without frames.
+        connection = TargetConnection(observer, gateway.identity, is_close_an_end=is_framed)
+        handshake.hand_over(transport, _FramedTunnel(connection) if is_framed else connection)
         is_open = True
         return connection
     except (OSError, TimeoutError, ValueError, OverflowError) as error:
--- a/traystall/passthrough/tunnels/dialer.py
+++ b/traystall/passthrough/tunnels/dialer.py
@@ -151,7 +151,7 @@
         ]
 
     async def _open_through(self, row, report, observer) -> TargetConnection:
-        request = TunnelRequest(target=report.identity, address=report.address)
+        request = TunnelRequest(target=report.identity, address=report.address, framed=True)
         try:
             connection = await open_tunnel(
                 row, request, self.link_identity, observer, _TUNNEL_TIMEOUT_SECONDS
--- a/traystall/passthrough/tunnels/service.py
+++ b/traystall/passthrough/tunnels/service.py
@@ -25,8 +25,10 @@
     TUNNEL_CLOSED_HEADER,
     ResponseHead,
     SentRequest,
+    ends_with_connection,
 )
 from traystall.passthrough.ownership.owners import LEAVING
+from traystall.passthrough.tunnels.framing import END_MARK, frame
 
 # Error codes of refused tunnels.
 NO_PATH = "no-path"
@@ -48,6 +50,7 @@
     GATEWAY_CLOSED: the gateway in front closed the tunnel, or is lost.
     REFUSED: this gateway takes no more requests in it.
     STOPPED: this gateway stops.
+    NOT_FRAMED: the gateway in front could not tell the end of the response.
     """
 
     TARGET_CLOSED = "target-closed"
@@ -55,6 +58,7 @@
     GATEWAY_CLOSED = "gateway-closed"
     REFUSED = "refused"
     STOPPED = "stopped"
+    NOT_FRAMED = "not-framed"
 
 
 class TunnelService:
@@ -89,7 +93,15 @@
             writer.transport.abort()
             raise RpcRefused(LEAVING, "This gateway is about to stop.")
         enable_dead_peer_detection(writer.transport, TARGET_UNACKNOWLEDGED_TIMEOUT_MS)
-        tunnel = Tunnel(self._context, view, reader, writer, self._tunnels, request.target)
+        tunnel = Tunnel(
+            self._context,
+            view,
+            reader,
+            writer,
+            self._tunnels,
+            request.target,
+            bool(request.framed),
+        )
         self._tunnels.add(tunnel)
         return tunnel
 
@@ -108,7 +120,7 @@
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
 
     def close(self) -> None:
-        """Reset every tunnel, so that a response that is cut off does not look complete."""
+        """Reset every tunnel; responses in them are cut off."""
         for tunnel in list(self._tunnels):
             tunnel.reset()
 
@@ -116,11 +128,23 @@
 class Tunnel:
     """Forward bytes between one gateway and one target, and read the heads of the responses.
 
-    The target's notices concern this gateway too, because the target knows no other peer.
+    The target's notices concern this gateway too, because the target knows no other peer. If the
+    tunnel is framed, responses come in frames, which tell an end of the target's connection from
+    an end of this process. A gateway of an earlier release in front reads no frames.
     """
 
-    def __init__(self, context, view, reader, writer, tunnels: set["Tunnel"], target: str = ""):
+    def __init__(
+        self,
+        context,
+        view,
+        reader,
+        writer,
+        tunnels: set["Tunnel"],
+        target: str = "",
+        is_framed: bool = False,
+    ):
         self.view = view
+        self.is_framed = is_framed
         self.is_closed = False
         # Whether the last request has its complete response.
         self.is_idle = True
@@ -134,6 +158,7 @@
         self._gateway_writer: asyncio.StreamWriter | None = None
         self._has_head = True
         self._is_refusing = False
+        self._has_untold_end = False
         self._ended_by = TunnelEnd.STOPPED
         self._headers: list[tuple[bytes, bytes]] = []
         self._parser: httptools.HttpResponseParser | None = None
@@ -231,20 +256,30 @@
             "Content-Length: 0",
             "Connection: close",
         ]
-        self._gateway_writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        self._write_response("\r\n".join(lines).encode() + b"\r\n\r\n")
 
     async def _forward_responses(self):
         try:
             while data := await self._reader.read(_CHUNK_BYTES):
                 self._parse(data)
-                self._gateway_writer.write(data)
+                if self._has_untold_end and not self.is_framed:
+                    self._ended_by = TunnelEnd.NOT_FRAMED
+                    self.reset()
+                    return
+                self._write_response(data)
                 await self._gateway_writer.drain()
+            if self.is_closed:
+                return
             self._ended_by = TunnelEnd.TARGET_CLOSED
+            if self.is_framed:
+                self._gateway_writer.write(END_MARK)
         except OSError:
             self._ended_by = TunnelEnd.TARGET_LOST
-            # Ended in order, a response without a length would look complete.
             self.reset()
 
+    def _write_response(self, data):
+        self._gateway_writer.write(frame(data) if self.is_framed else data)
+
     def _parse(self, data):
         if self._parser is None:
             return
@@ -270,6 +305,7 @@
         if status < 200:
             return
         self._has_head = True
+        self._has_untold_end = ends_with_connection(status, self._headers)
         head = ResponseHead(status, self._headers)
         self._context.notices.on_response_head(self.view, self, head)
 
--- a/traystall/rpc/gen/wire/ttypes.py
+++ b/traystall/rpc/gen/wire/ttypes.py
@@ -9341,18 +9341,21 @@
     Attributes:
      - target
      - address
+     - framed
 
     """
 
     __slots__ = (
         'target',
         'address',
+        'framed',
     )
 
 
-    def __init__(self, target=None, address=None,):
+    def __init__(self, target=None, address=None, framed=None,):
         self.target = target
         self.address = address
+        self.framed = framed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -9373,6 +9376,11 @@
                     self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.framed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -9391,6 +9399,10 @@
             oprot.writeFieldBegin('address', TType.STRING, 2)
             oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
             oprot.writeFieldEnd()
+        if self.framed is not None:
+            oprot.writeFieldBegin('framed', TType.BOOL, 3)
+            oprot.writeBool(self.framed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -9424,16 +9436,19 @@
     """
     Attributes:
      - identity
+     - framed
 
     """
 
     __slots__ = (
         'identity',
+        'framed',
     )
 
 
-    def __init__(self, identity=None,):
+    def __init__(self, identity=None, framed=None,):
         self.identity = identity
+        self.framed = framed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -9449,6 +9464,11 @@
                     self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.framed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -9463,6 +9483,10 @@
             oprot.writeFieldBegin('identity', TType.STRING, 1)
             oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
             oprot.writeFieldEnd()
+        if self.framed is not None:
+            oprot.writeFieldBegin('framed', TType.BOOL, 2)
+            oprot.writeBool(self.framed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -11719,11 +11743,13 @@
     None,  # 0
     (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'framed', None, None, ),  # 3
 )
 all_structs.append(TunnelReply)
 TunnelReply.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'identity', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'framed', None, None, ),  # 2
 )
 all_structs.append(PingRequest)
 PingRequest.thrift_spec = (
--- a/traystall/rpc/server.py
+++ b/traystall/rpc/server.py
@@ -134,7 +134,7 @@
             task.add_done_callback(self._tasks.discard)
 
     async def _serve_tunnel(self, reader, writer, frame, request):
-        """Turn the connection into a tunnel; it carries no frames any more after the reply."""
+        """Turn the connection into a tunnel; it carries no messages any more after the reply."""
         reply = Frame(call_id=frame.call_id, method=frame.method, reply=True)
         try:
             tunnel = await self._open_tunnel(request)
@@ -143,7 +143,7 @@
             await self._write(writer, reply)
             return
         try:
-            reply.body = encode(TunnelReply(identity=request.target))
+            reply.body = encode(TunnelReply(identity=request.target, framed=tunnel.is_framed))
             await self._write(writer, reply)
             await tunnel.forward(reader, writer)
         finally:
--- a/traystall/rpc/traystall.thrift
+++ b/traystall/rpc/traystall.thrift
@@ -348,9 +348,10 @@
 struct PlaceReply { 1: string identity }
 struct PlaceNote { 1: required string pool, 2: required string request_id, 3: required string what }
 // Asks a gateway to connect to a target it knows under this identity and address. After a reply without
-// an error the connection carries the bytes exchanged with the target, and no frames any more.
-struct TunnelRequest { 1: required string target, 2: required string address }
-struct TunnelReply { 1: string identity }
+// an error the connection carries the bytes exchanged with the target, and no messages any more. If both
+// say framed, those from the target come in frames whose end mark tells that the target has closed.
+struct TunnelRequest { 1: required string target, 2: required string address, 3: bool framed }
+struct TunnelReply { 1: string identity, 2: bool framed }
 struct PingRequest { 1: string sender }
 struct PingReply { 1: string identity }
 
