A response without a length ends with its connection only if its target has not ended too

Callers saw streams that ended as complete before their last event, and plain answers cut short, when the process of a target was killed inside a response with neither a length nor chunks.

Cause: the kernel closes the connections of a killed process in order, which is the end of such a response. The close was the only thing that was looked at.

Change: after such a close the gateway opens the connection that takes the place of the closed one, and keeps it for the next request. A gateway that is cut off asks through its tunnels; a carrier now says when nothing listens (target-refused).

Conclusion: fixed where the target's address tells; not where another process listens at once at the same address without having reported, or where a leaving target is killed.

--- a/traystall/passthrough/exchange/pool.py
+++ b/traystall/passthrough/exchange/pool.py
@@ -1,5 +1,6 @@
 """Connection pool for one target, limited to this gateway's share of its connections."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 from traystall.core import clock
@@ -43,12 +44,22 @@
             return kept
         if self._open >= self._limit():
             raise ConnectFailed(f"All connections to {self._address} are in use.")
-        self._open += 1
+        return await self._dial_counted()
+
+    async def replace_closed(self, seconds: float) -> bool:
+        """Open a connection for later requests; return whether it stays open for `seconds`.
+
+        It takes the place of one that has closed and is still counted. Raise ConnectFailed if it
+        can't be opened.
+        """
+        if self._open > self._limit():
+            raise ConnectFailed(f"All connections to {self._address} are in use.")
+        connection = await self._dial_counted()
         try:
-            return await self._dial()
-        except BaseException:
-            self._open -= 1
-            raise
+            await asyncio.sleep(seconds)
+            return not connection.is_closed
+        finally:
+            self.return_unused(connection)
 
     def release(self, connection: TargetConnection, head: ResponseHead | None) -> None:
         """Return a connection whose response was read completely; close it if not reusable."""
@@ -85,6 +96,14 @@
         """Close the pool."""
         self.close_idle()
 
+    async def _dial_counted(self) -> TargetConnection:
+        self._open += 1
+        try:
+            return await self._dial()
+        except BaseException:
+            self._open -= 1
+            raise
+
     def _keep(self, connection, seconds):
         now = clock.monotonic()
         connection.is_idle = True
--- a/traystall/passthrough/exchange/runner.py
+++ b/traystall/passthrough/exchange/runner.py
@@ -34,6 +34,7 @@
     TunnelClosed,
 )
 from traystall.passthrough.exchange.attempt import NOT_RUN_STATUSES, Attempt, TargetResponse
+from traystall.passthrough.exchange.closing import require_running_target
 from traystall.passthrough.exchange.continuations import Continuations
 from traystall.passthrough.exchange.failover import Failover, PreparedAttempt
 from traystall.passthrough.exchange.failures import (
@@ -456,6 +457,7 @@
         if passed.route.streamed and is_success(head, self._context.names):
             return await self._relay_events(waiting)
         response = await attempt.read_body(head, room=self._context.answer_room)
+        await require_running_target(self._context.board, view, head)
         failure = self._classify_response(view, attempt, response)
         if failure is not None:
             passed.may_have_run |= failure.kind is not FailureKind.NOT_RUN
@@ -596,6 +598,7 @@
                 await sink.write(event)
         if attempt.head.until_close and sink.partial:
             raise NoAnswer("The stream ended inside an event.", sent=True)
+        await require_running_target(self._context.board, view, attempt.head)
         if not was_open and not attempt.was_silent:
             seconds = clock.monotonic() - sent_at
             self._context.record_response_seconds(passed.route.name, seconds)
--- a/traystall/passthrough/tunnels/dialer.py
+++ b/traystall/passthrough/tunnels/dialer.py
@@ -22,6 +22,7 @@
 from traystall.passthrough.tunnels.client import open_tunnel
 from traystall.passthrough.tunnels.paths import TargetPaths
 from traystall.passthrough.tunnels.race import Opener, first_open
+from traystall.passthrough.tunnels.service import TARGET_REFUSED
 from traystall.quarantine.ends import TargetIncarnation
 from traystall.registry.models import TargetReport
 from traystall.rpc.client import LinkIdentity
@@ -159,6 +160,9 @@
         except RpcError as error:
             target = report.identity if isinstance(error, RpcRefused) else ""
             self.paths.on_gateway_failure(row.identity, target, clock.monotonic())
-            raise ConnectFailed(f"{report.address} by tunnel: {error}") from error
+            is_refused = isinstance(error, RpcRefused) and error.code == TARGET_REFUSED
+            raise ConnectFailed(
+                f"{report.address} by tunnel: {error}", refused=is_refused
+            ) from error
         self._context.places.on_response(row.data_centre)
         return connection
--- a/traystall/passthrough/tunnels/service.py
+++ b/traystall/passthrough/tunnels/service.py
@@ -32,6 +32,7 @@
 
 # Error codes of refused tunnels.
 NO_PATH = "no-path"
+TARGET_REFUSED = "target-refused"
 TARGET_UNAVAILABLE = "target-unavailable"
 TUNNELS_FULL = "tunnels-full"
 # Each tunnel takes two of the process's file descriptors and two buffers.
@@ -87,6 +88,8 @@
         try:
             async with PeerTimeout(CONNECT_TIMEOUT_SECONDS):
                 reader, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError as error:
+            raise RpcRefused(TARGET_REFUSED, f"Nothing listens at {request.address}.") from error
         except (OSError, TimeoutError, ValueError) as error:
             raise RpcRefused(NO_PATH, f"{request.target} is not reachable: {error}.") from error
         if self._is_draining:
