A lost connection releases its task, and with it what the response held

Cause: after a client had gone, the connection kept its cancelled task, the task its error with the frames, and the frames the connection and the answer, until garbage was collected. Clients that ask for large answers and read nothing took the process to 157 to 280 MB where its machine has 160.

Change: connection_lost lets go of the task before it cancels it.

--- a/traystall/http/connection.py
+++ b/traystall/http/connection.py
@@ -193,8 +193,10 @@
             self._memory = None
         if self._reading is not None:
             self._reading.fail_body(BodyBroken("The caller has gone."))
-        if self._task is not None:
-            self._task.cancel()
+        # A cancelled task keeps its frames, which hold this connection and the response.
+        task, self._task = self._task, None
+        if task is not None:
+            task.cancel()
         self.resume_writing()
 
     def pause_writing(self):
