--- a/tests/storage/test_segments_after_a_power_loss.py
+++ b/tests/storage/test_segments_after_a_power_loss.py
@@ -6,7 +6,8 @@
 import pytest
 
 from tests.storage.test_folder import MEMBERS, entry, indexes, open_folder, recover
-from traystall.consensus.models import AppendLog, SaveSnapshot, Snapshot
+from traystall.consensus.models import AppendLog, SaveSnapshot, Snapshot, TruncateLog
+from traystall.core.exceptions import CorruptLog
 from traystall.storage import folder as folder_module
 
 ENTRIES = 6
@@ -37,3 +38,18 @@
     recovered = recover(data)
     assert recovered.log.snapshot_index == SNAPSHOT_INDEX
     assert indexes(recovered) == list(range(SNAPSHOT_INDEX + 1, ENTRIES + 1))
+
+
+@pytest.mark.parametrize("truncated_at", [None, 4])
+def test_gap_that_no_truncation_removes_is_an_error(tmp_path, monkeypatch, truncated_at):
+    """A segment is missing, and no snapshot has replaced it."""
+    monkeypatch.setattr(folder_module, "SEGMENT_BYTES", 1)
+    folder, _ = open_folder(tmp_path)
+    for index in range(1, ENTRIES + 1):
+        folder.write([AppendLog([entry(index)])])
+    if truncated_at is not None:
+        folder.write([TruncateLog(truncated_at)])
+    folder.close()
+    sorted(tmp_path.glob("log-*.wal"))[1].unlink()
+    with pytest.raises(CorruptLog):
+        recover(tmp_path)
--- a/traystall/storage/folder.py
+++ b/traystall/storage/folder.py
@@ -110,6 +110,8 @@
         self._first_segment = 0
         self._hard_state = HardState()
         self._entries: list[StoredEntry] = []
+        # The first missing entry while the log is replayed, and the one that came in its place.
+        self._gap: tuple[int, int] | None = None
         self._lock = None
         # Writes that are not durable yet; each is replaced by its BatchStep when it is first tried.
         self._pending: list = []
@@ -268,6 +270,9 @@
                 self._truncate_segment(path, result.valid_bytes)
             for payload in result.payloads:
                 self._replay_batch(unpack(payload, Batch), base)
+        if self._gap is not None:
+            missing, found = self._gap
+            raise CorruptLog(f"The log in {self._path} goes from entry {missing - 1} to {found}.")
 
     def _truncate_segment(self, path, length):
         with open(path, "r+b") as segment:
@@ -280,15 +285,24 @@
                 self._hard_state = step.state
             if step.truncate is not None:
                 self._entries = [e for e in self._entries if e.index < step.truncate]
+                if self._gap is not None and step.truncate <= self._gap[0]:
+                    # A snapshot has replaced the segments, some of which are left.
+                    self._gap = None
             for entry in step.entries or ():
-                if entry.index <= base:
-                    continue
-                expected = self._entries[-1].index + 1 if self._entries else base + 1
-                if entry.index != expected:
-                    raise CorruptLog(
-                        f"The log in {self._path} goes from entry {expected - 1} to {entry.index}."
-                    )
-                self._entries.append(entry)
+                if entry.index > base and self._gap is None:
+                    self._replay_entry(entry, base)
+
+    def _replay_entry(self, entry, base):
+        """Append an entry; a gap is an error unless a later truncation removes it."""
+        expected = self._entries[-1].index + 1 if self._entries else base + 1
+        if entry.index < expected:
+            raise CorruptLog(
+                f"The log in {self._path} goes from entry {expected - 1} to {entry.index}."
+            )
+        if entry.index > expected:
+            self._gap = (expected, entry.index)
+            return
+        self._entries.append(entry)
 
     def _open_segment(self):
         segments = self._segments()
