A refusal without an id counts only where it can't belong to an earlier request

Cause: an error response without an id was taken for the answer to whatever was sent last. A target that repeats a refusal late then answers the next request on the connection with it: its caller is told that it has not run and never will, though the target runs it, and one that may run again runs twice. Since calls of stage workers carry ids, the same refusal was skipped there instead, and the call timed out.

Change: decided together. On a connection that has carried an earlier request, a refusal without an id leaves it unknown whether the request ran: 502, or another attempt if it may run twice; the connection is closed. The first request of a connection is refused as before. A call of a stage worker may run twice, so there such a refusal counts as full, from workers that send ids back too.

Price: a target that never sends ids on refusals gets its requests of kept connections counted as doubtful.

Conclusion: fixed; the users' pages say that every answer carries the id, so this is for targets that break them.

--- a/traystall/passthrough/exchange/attempt.py
+++ b/traystall/passthrough/exchange/attempt.py
@@ -266,12 +266,16 @@
         if self._request_id is None:
             return True
         found = head.get(self._names.request_id)
+        is_success = 200 <= head.status < 300
         if self._is_own_call:
             if found is None:
-                return not self.view.echoes_call_ids
+                # A call may run twice, so a late refusal of an earlier one does no harm.
+                return not is_success or not self.view.echoes_call_ids
             self.view.echoes_call_ids = True
             return found == self._request_id
+        if found is None and not is_success and self._connection.requests > 1:
+            raise NoAnswer("A refusal without an id may be of an earlier request.", sent=True)
         if found is None:
             # Error responses may omit the request id; a success must carry it.
-            return not 200 <= head.status < 300
+            return not is_success
         return found == self._request_id
