Replayed logs: only a truncation of the whole log removes a gap, and going back is a gap too

Any truncation at or before a gap removed it, though the lost segment may have held a truncation of its own: a log of terms 1, 1, 1, 3 was accepted where 1, 2, 2, 3 had been written. And an index that goes back, because a truncation among the replaced segments was lost, still kept the daemon from starting.

An index that goes back counts as a gap.

--- a/traystall/storage/folder.py
+++ b/traystall/storage/folder.py
@@ -110,7 +110,7 @@
         self._first_segment = 0
         self._hard_state = HardState()
         self._entries: list[StoredEntry] = []
-        # The first missing entry while the log is replayed, and the one that came in its place.
+        # The entry that was due while the log is replayed, and the one that came in its place.
         self._gap: tuple[int, int] | None = None
         self._lock = None
         # Writes that are not durable yet; each is replaced by its BatchStep when it is first tried.
@@ -285,21 +285,18 @@
                 self._hard_state = step.state
             if step.truncate is not None:
                 self._entries = [e for e in self._entries if e.index < step.truncate]
-                if self._gap is not None and step.truncate <= self._gap[0]:
-                    # A snapshot has replaced the segments, some of which are left.
+                if step.truncate == base + 1:
+                    # All that came before is void. A snapshot writes this, and replaces the
+                    # segments before, of which any may be left.
                     self._gap = None
             for entry in step.entries or ():
                 if entry.index > base and self._gap is None:
                     self._replay_entry(entry, base)
 
     def _replay_entry(self, entry, base):
-        """Append an entry; a gap is an error unless a later truncation removes it."""
+        """Append an entry; one out of order is an error unless the log is truncated as a whole."""
         expected = self._entries[-1].index + 1 if self._entries else base + 1
-        if entry.index < expected:
-            raise CorruptLog(
-                f"The log in {self._path} goes from entry {expected - 1} to {entry.index}."
-            )
-        if entry.index > expected:
+        if entry.index != expected:
             self._gap = (expected, entry.index)
             return
         self._entries.append(entry)
