Closes of targets: asked in any case, in time, and without a connection that stays

A pool without a free connection, or gateways that were silent, left the check without an answer, and no answer meant 'running': a cut response looked whole again, 1 of 12 through tunnels and 2 of 12 with four connections a target. The connection that was opened stayed and held the only slot of a target, so that another gateway's request got 504 after 6 s. The check went on past the deadline of a whole response, and doubted refusals that say that the request has not run.

Change: the check opens a connection beside those that are counted, since one has just closed, and closes it again after 50 ms, or at once when it is reset, and then tries a second one. It may take 0.8 s, longer than tunnels need to fail, but half of the time that the request has left at most. first_open raises a refusal if any opener met one. Answers that say not-run are not checked.

--- a/traystall/passthrough/exchange/closing.py
+++ b/traystall/passthrough/exchange/closing.py
@@ -5,43 +5,44 @@
 
 from traystall.core.peer_timeout import PeerTimeout
 from traystall.passthrough.exceptions import ConnectFailed, ConnectionBroken
-from traystall.passthrough.exchange.connection import ResponseHead
 from traystall.passthrough.health.board import TargetBoard, TargetView
 
-# A target that accepts no connection for this long may be full or silent, and counts as running.
-_CONNECT_SECONDS = 0.3
+# A target that has accepted no connection after this time, also through other gateways, may be full
+# or silent, and counts as running. Direct connections and tunnels have shorter timeouts.
+_PROBE_SECONDS = 0.8
 # A process that ends may close its connections this long before its listening socket, which resets
 # the connections that it has not accepted.
 _SETTLE_SECONDS = 0.05
-_CONNECTIONS_TRIED = 3
 _NOT_LISTENING = "nothing listens at its address"
 
 
 async def require_running_target(
-    board: TargetBoard, view: TargetView, head: ResponseHead | None
+    board: TargetBoard, view: TargetView, remaining_seconds: float
 ) -> None:
-    """Raise ConnectionBroken if a response has ended with the end of its target.
+    """Raise ConnectionBroken if a response was ended by the end of its target.
 
-    A target that is leaving may end right after its last response, so its closes count as ends.
+    A target that is leaving may end right after its last response, so its closes count as ends. A
+    response is not lost because the check would take longer than `remaining_seconds`.
     """
-    if head is None or not head.until_close or not view.is_ready:
+    if not view.is_ready:
         return
-    evidence = board.end_evidence(view) or await _find_refusal(view)
+    evidence = board.end_evidence(view)
+    if not evidence and remaining_seconds > 0:
+        evidence = await _find_refusal(view, min(_PROBE_SECONDS, remaining_seconds))
     if evidence:
         raise ConnectionBroken(f"The target has ended: {evidence}.", sent=True)
 
 
-async def _find_refusal(view: TargetView) -> str:
-    """Replace the connection that has closed; return why the target must have ended, or ""."""
-    for _ in range(_CONNECTIONS_TRIED):
-        try:
-            async with PeerTimeout(_CONNECT_SECONDS):
-                if await view.connections.replace_closed(_SETTLE_SECONDS):
-                    return ""
-        except TimeoutError:
-            return ""
-        except ConnectFailed as error:
-            if error.refused:
-                return _NOT_LISTENING
-            # A reset may come while the connection is being opened, too.
+async def _find_refusal(view: TargetView, seconds: float) -> str:
+    """Open connections to a target; return why it must have ended, or an empty string."""
+    try:
+        async with PeerTimeout(seconds):
+            if await view.connections.probe(_SETTLE_SECONDS):
+                return ""
+            # A listening socket that was closed has reset the first one.
+            await view.connections.probe(0.0)
+    except TimeoutError:
+        return ""
+    except ConnectFailed as error:
+        return _NOT_LISTENING if error.refused else ""
     return ""
--- a/traystall/passthrough/exchange/pool.py
+++ b/traystall/passthrough/exchange/pool.py
@@ -44,22 +44,34 @@
             return kept
         if self._open >= self._limit():
             raise ConnectFailed(f"All connections to {self._address} are in use.")
-        return await self._dial_counted()
+        self._open += 1
+        try:
+            return await self._dial()
+        except BaseException:
+            self._open -= 1
+            raise
 
-    async def replace_closed(self, seconds: float) -> bool:
-        """Open a connection for later requests; return whether it stays open for `seconds`.
+    async def probe(self, seconds: float) -> bool:
+        """Open a connection and close it; return whether it stays open for `seconds`.
 
-        It takes the place of one that has closed and is still counted. Raise ConnectFailed if it
-        can't be opened.
+        Raise ConnectFailed if nothing listens at the address. The connection is in addition to
+        those that are counted: its caller has just lost one. One that is reset while it is opened
+        does not stay open.
         """
-        if self._open > self._limit():
-            raise ConnectFailed(f"All connections to {self._address} are in use.")
-        connection = await self._dial_counted()
         try:
-            await asyncio.sleep(seconds)
+            connection = await self._dial()
+        except ConnectFailed as error:
+            if error.refused:
+                raise
+            return False
+        try:
+            async with asyncio.timeout(seconds):
+                await connection.wait_for_data()
+            return False
+        except TimeoutError:
             return not connection.is_closed
         finally:
-            self.return_unused(connection)
+            connection.close()
 
     def release(self, connection: TargetConnection, head: ResponseHead | None) -> None:
         """Return a connection whose response was read completely; close it if not reusable."""
@@ -96,14 +108,6 @@
         """Close the pool."""
         self.close_idle()
 
-    async def _dial_counted(self) -> TargetConnection:
-        self._open += 1
-        try:
-            return await self._dial()
-        except BaseException:
-            self._open -= 1
-            raise
-
     def _keep(self, connection, seconds):
         now = clock.monotonic()
         connection.is_idle = True
--- a/traystall/passthrough/exchange/runner.py
+++ b/traystall/passthrough/exchange/runner.py
@@ -457,7 +457,8 @@
         if passed.route.streamed and is_success(head, self._context.names):
             return await self._relay_events(waiting)
         response = await attempt.read_body(head, room=self._context.answer_room)
-        await require_running_target(self._context.board, view, head)
+        if head.until_close and not attempt.has_not_run():
+            await require_running_target(self._context.board, view, self._check_seconds(passed))
         failure = self._classify_response(view, attempt, response)
         if failure is not None:
             passed.may_have_run |= failure.kind is not FailureKind.NOT_RUN
@@ -598,7 +599,8 @@
                 await sink.write(event)
         if attempt.head.until_close and sink.partial:
             raise NoAnswer("The stream ended inside an event.", sent=True)
-        await require_running_target(self._context.board, view, attempt.head)
+        if attempt.head.until_close:
+            await require_running_target(self._context.board, view, self._check_seconds(passed))
         if not was_open and not attempt.was_silent:
             seconds = clock.monotonic() - sent_at
             self._context.record_response_seconds(passed.route.name, seconds)
@@ -606,6 +608,10 @@
         self._context.guard.served(passed.guarded)
         await sink.finish()
 
+    def _check_seconds(self, passed) -> float:
+        """Return how long a whole response may be checked; it may take twice as long if held up."""
+        return passed.remaining() / 2
+
     def _stream_patience(self, passed) -> float:
         """Return after how long without data a stream looks for another target, in seconds."""
         if not passed.route.resumable:
--- a/traystall/passthrough/tunnels/race.py
+++ b/traystall/passthrough/tunnels/race.py
@@ -3,15 +3,17 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from traystall.passthrough.exceptions import ConnectFailed
 from traystall.passthrough.exchange.connection import TargetConnection
 
 Opener = Callable[[], Awaitable[TargetConnection]]
 
 
 async def first_open(openers: list[Opener], head_start: float | None) -> TargetConnection:
-    """Return the first connection that opens; raise the error of the first opener if none does.
+    """Return the first connection that opens; raise ConnectFailed if none does.
 
-    Each opener starts when the one before has failed, or after `head_start` seconds.
+    The error is that of an opener that was refused, or else of the first one. Each opener starts
+    when the one before has failed, or after `head_start` seconds.
     """
     attempts: list[asyncio.Task[TargetConnection]] = []
     winner = None
@@ -22,13 +24,18 @@
             winner = await _next_success(attempts, head_start, is_last)
             if winner is not None:
                 return winner
-        raise attempts[0].exception()
+        errors = [attempt.exception() for attempt in attempts]
+        raise next((error for error in errors if _is_refused(error)), errors[0])
     finally:
         for attempt in attempts:
             attempt.cancel()
             attempt.add_done_callback(lambda done: _close_loser(done, winner))
 
 
+def _is_refused(error) -> bool:
+    return isinstance(error, ConnectFailed) and error.refused
+
+
 async def _next_success(attempts, head_start, is_last) -> TargetConnection | None:
     """Return the first connection that opens, or None once the next opener is due.
 
