--- a/review/runner_2.py
+++ b/review/runner_2.py
@@ -12,6 +12,7 @@
 import time
 
 OPTIONS = json.loads(sys.argv[1])
+PATH = f"/traystall/instances/{OPTIONS['id']}"
 STATE = {"state": "ready", "seq": 0}
 
 
@@ -38,8 +39,7 @@
             writer.transport.abort()
 
 
-async def register(method="PUT"):
-    """Send one heartbeat, to the first control daemon that acknowledges it."""
+def make_beat():
     STATE["seq"] += 1
     beat = {
         "service": OPTIONS["service"],
@@ -51,28 +51,51 @@
         "cold-left-ms": 0,
         "seq": STATE["seq"],
     }
+    return json.dumps(beat).encode()
+
+
+async def register(method="PUT"):
+    """Send one heartbeat, to the first control daemon that acknowledges it."""
+    body = make_beat() if method == "PUT" else b""
     state = STATE["state"]
-    for address in OPTIONS["controls"]:
+    for address in list(OPTIONS["controls"]):
         with contextlib.suppress(OSError, TimeoutError, ValueError, IndexError):
-            path = f"/traystall/instances/{OPTIONS['id']}"
-            body = json.dumps(beat).encode() if method == "PUT" else b""
-            status = await exchange(address, method, path, body)
+            status = await exchange(address, method, PATH, body)
             if 200 <= status < 300:
                 # The next heartbeat goes to the same daemon until one fails there.
                 OPTIONS["controls"].remove(address)
                 OPTIONS["controls"].insert(0, address)
                 note("acknowledged", state=state if method == "PUT" else "gone", by=address)
-                return
+                return True
+    return False
 
 
 async def beat_forever():
-    while True:
+    while STATE["state"] != "gone":
         await register()
         await asyncio.sleep(1.2)
 
 
+async def beat_late(address, seconds):
+    """Send a heartbeat that the network holds up for so long on its way to a daemon."""
+    body = make_beat()
+    note("sent", state=STATE["state"], seq=STATE["seq"], to=address)
+    await asyncio.sleep(seconds)
+    with contextlib.suppress(OSError, TimeoutError, ValueError, IndexError):
+        status = await exchange(address, "PUT", PATH, body)
+        note("arrived", seq=json.loads(body)["seq"], status=status, at_daemon=address)
+
+
+async def leave():
+    """Announce the end with DELETE first, without having reported `draining`; serve on."""
+    STATE["state"] = "gone"
+    while not await register("DELETE"):
+        await asyncio.sleep(0.1)
+
+
 async def read_orders():
-    """Read words from standard input: `drain`, `die`, or `controls` with addresses."""
+    """Read orders: `drain`, `leave`, `late ADDRESS SECONDS`, or `controls` with addresses."""
+    late = set()
     loop = asyncio.get_running_loop()
     reader = asyncio.StreamReader()
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
@@ -80,6 +103,10 @@
         if line[0] == "drain":
             STATE["state"] = "draining"
             await register()
+        elif line[0] == "leave":
+            await leave()
+        elif line[0] == "late":
+            late.add(asyncio.create_task(beat_late(line[1], float(line[2]))))
         elif line[0] == "controls":
             OPTIONS["controls"][:] = line[1:]
 
