--- a/review/site_2.py
+++ b/review/site_2.py
@@ -144,8 +144,12 @@
         shutil.rmtree(self.folder / "data")
         self.bootstrap = False
 
-    def log(self):
-        return (self.folder / "log.txt").read_text(errors="replace")
+    def peak_mb(self):
+        """Return the most memory that the running process has had, in MB."""
+        for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1]) / 1000
+        return 0
 
 
 class Site:
@@ -310,10 +314,13 @@
         return f"{self.status} {len(self.body)} bytes {self.end}"
 
 
-async def call(address, method, path, headers=(), body=b"", seconds=1.5, rate=None, buffer=None):
+async def call(
+    address, method, path, headers=(), body=b"", seconds=1.5, rate=None, buffer=None, before=None
+):
     """Send one request on a new connection and return the answer, whole or not.
 
-    With `rate` the client reads so many bytes a second, and `buffer` is its receive buffer.
+    With `rate` the client reads so many bytes a second, and `buffer` is its receive buffer. With
+    `before`, the path and headers of a GET, the connection is one that this request has used.
     """
     host, _, port = address.rpartition(":")
     sock = socket.socket()
@@ -327,11 +334,12 @@
             await loop.sock_connect(sock, (host, int(port)))
             limit = 64 * 1024 if rate is None else 16 * 1024
             reader, writer = await asyncio.open_connection(sock=sock, limit=limit)
-            lines = [f"{method} {path} HTTP/1.1", f"Host: {dict(headers).get('Host', address)}"]
-            lines += [f"{name}: {value}" for name, value in headers if name != "Host"]
-            if body or method != "GET":
-                lines.append(f"Content-Length: {len(body)}")
-            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            if before is not None:
+                writer.write(_request("GET", before[0], before[1], address, b""))
+                first = await _read_answer(reader)
+                if first.status != 200 or first.end != "whole":
+                    return first
+            writer.write(_request(method, path, headers, address, body))
             return await _read_answer(reader, rate)
     finally:
         if writer is not None:
@@ -340,6 +348,14 @@
             sock.close()
 
 
+def _request(method, path, headers, address, body):
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {dict(headers).get('Host', address)}"]
+    lines += [f"{name}: {value}" for name, value in headers if name != "Host"]
+    if body or method != "GET":
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
 async def _read_answer(reader, rate=None):
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
     answer = Answer(int(head[0].split()[1]))
