--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """More clients than usual read large answers slowly at one gateway, and nothing else happens."""
 
 import asyncio
+import signal
 import sys
 import time
 from pathlib import Path
@@ -52,6 +53,10 @@
     for gateway in gateways:
         await site.until(lambda g=gateway: site.is_ready(g), f"{gateway.name} ready")
     await asyncio.sleep(s.CONTACT + 1.0)
+    # Planned work, with and without the crowd: the settings file is written again, as it was.
+    gateways[0].write_settings()
+    gateways[0].send(signal.SIGHUP)
+    await asyncio.sleep(0.3)
     count = int(USUAL_CLIENTS * (BURST if s.TROUBLE else 1))
     answers = await asyncio.gather(
         *(client(site, gateways[0], number) for number in range(count)), return_exceptions=True
