--- a/review/8/case.py
+++ b/review/8/case.py
@@ -87,4 +87,4 @@
     raise s.CannotRun("the end of the runner was not acknowledged")
 
 
-s.run(case, Path(__file__).resolve().parent)
+s.run(case, Path(__file__).resolve().parent / "record.txt")
--- a/review/site_2.py
+++ b/review/site_2.py
@@ -36,9 +36,9 @@
 class Record:
     """The lines of record.txt, with the seconds since the start of the case."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.began = time.monotonic()
-        self._path = Path(folder) / "record.txt"
+        self._path = Path(path)
         self._path.write_text("")
 
     def __call__(self, text):
@@ -157,8 +157,8 @@
 
     zones = ("hall-a", "hall-b", "hall-c")
 
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self.folder = Path(tempfile.mkdtemp(prefix="traystall-review-"))
         self._net = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
         self._numbers = iter(range(1, 250))
@@ -436,12 +436,12 @@
     ]
 
 
-def run(case, folder, seconds=110.0):
+def run(case, record_path, seconds=110.0):
     """Run `case(site)`, which returns whether the rule held, and exit as the issue asks."""
 
     async def limited():
         async with asyncio.timeout(seconds):
-            with Site(folder) as site:
+            with Site(record_path) as site:
                 try:
                     held = await case(site)
                     site.record(f"verdict: the rule {'held' if held else 'was broken'}")
