Heartbeats of runners: the stand-in of the control daemon has its new interface

Change: the same checks at the new interface, and new ones: no 2xx for a departure that is not kept (503), and 400 for a runner that can't be registered. No check was taken out.

--- a/tests/platform/test_control_api.py
+++ b/tests/platform/test_control_api.py
@@ -8,6 +8,7 @@
 from traystall_platform.control_api import ControlApi
 
 from traystall.control.evacuation import UNKNOWN_DATA_CENTRE
+from traystall.control.exceptions import DepartureNotKept, InvalidTarget
 from traystall.core.exceptions import RpcRefused, RpcTimeout
 from traystall.http.server import HttpServer
 from traystall.rpc.gen.wire.ttypes import Evacuated, EvacuateReply
@@ -83,27 +84,38 @@
     asyncio.run(scenario())
 
 
-class Registry:
-    """Records the reports that a control daemon accepts."""
+class Registrations:
+    """Records what a control daemon accepts of targets, or raises the given error."""
 
-    def __init__(self):
+    def __init__(self, error=None):
         self.reports = []
+        self.left = []
+        self._error = error
 
-    def report(self, report):
+    async def report(self, report):
+        self._raise_error()
         self.reports.append(report)
 
+    async def leave(self, identity):
+        self._raise_error()
+        self.left.append(identity)
+
+    def _raise_error(self):
+        if self._error is not None:
+            raise self._error
+
 
-async def send_heartbeat(fields):
+async def send_heartbeat(fields, error=None):
     """Send a heartbeat with extra `fields`; return the status and the recorded reports."""
     control = type("Control", (), {})()
-    control.registry = Registry()
+    control.registrations = Registrations(error)
     server = HttpServer(ControlApi(control).router().handle)
     await server.listen("127.0.0.1:0")
     body = {"service": "pool", "addr": "10.0.0.1:80", "state": "ready", "seq": 1} | fields
     url = f"http://127.0.0.1:{server.port}/traystall/instances/i-1"
     try:
         async with aiohttp.ClientSession() as session, session.put(url, json=body) as response:
-            return response.status, control.registry.reports
+            return response.status, control.registrations.reports
     finally:
         await server.close(0.1)
 
@@ -118,3 +130,30 @@
 @pytest.mark.parametrize("born", ["1786675920632", 1.5, -1, 2**63, True, None, [], {}])
 def test_heartbeat_with_an_invalid_start_time_is_rejected(born):
     assert asyncio.run(send_heartbeat({"born": born})) == (400, [])
+
+
+async def send_end(error=None):
+    """Send the end of a runner; return the status and the recorded ends."""
+    control = type("Control", (), {})()
+    control.registrations = Registrations(error)
+    server = HttpServer(ControlApi(control).router().handle)
+    await server.listen("127.0.0.1:0")
+    url = f"http://127.0.0.1:{server.port}/traystall/instances/i-1"
+    try:
+        async with aiohttp.ClientSession() as session, session.delete(url) as response:
+            return response.status, control.registrations.left
+    finally:
+        await server.close(0.1)
+
+
+def test_end_is_acknowledged_only_if_it_is_kept():
+    """A runner that gets no 2xx asks another daemon, so 503 must not stand for a kept end."""
+    assert asyncio.run(send_end()) == (200, ["i-1"])
+    assert asyncio.run(send_end(DepartureNotKept("no majority"))) == (503, [])
+    draining = {"state": "draining"}
+    assert asyncio.run(send_heartbeat(draining, DepartureNotKept("no majority"))) == (503, [])
+
+
+def test_runner_that_cannot_be_registered_is_400():
+    assert asyncio.run(send_heartbeat({}, InvalidTarget("too long"))) == (400, [])
+    assert asyncio.run(send_end(InvalidTarget("too long"))) == (400, [])
