Streams: the only version counts once all control daemons have confirmed it

What callers saw: while a gateway was cut off from control daemons and gateways for under two seconds, targets of v1.1 joined; streams that had begun there through other gateways were taken up at it and went on at v1 (ORDER).

Cause: without an origin, the gateway's own picture of targets, up to 2 s old, vouched for what other gateways had begun since.

Change: before a version counts as the only one, the gateway fetches what all registries know after the request came; each daemon of the group must reply within 0.25 s, and each other one heard from lately. The same call as a watch, answered at once, so daemons of earlier releases answer it too. Why it works: another gateway can only have learnt of the target from one of these daemons, before the request. After a restart of all registries no version counts for 4 s.

--- a/tests/support/emulator/gateway.py
+++ b/tests/support/emulator/gateway.py
@@ -55,6 +55,12 @@
     def last_reply_at(self):
         return clock.monotonic()
 
+    def all_restarted_since(self, moment):
+        return False
+
+    async def confirm(self, seconds):
+        return True
+
 
 def table(
     *,
--- a/tests/support/process_site.py
+++ b/tests/support/process_site.py
@@ -182,28 +182,32 @@
         )
         await self._leader.call(request, _APPLY_SECONDS)
 
-    async def add(self, pool, **options) -> RecordingTarget:
-        """Start a target and report it to a control daemon."""
+    async def add(self, pool, version="", **options) -> RecordingTarget:
+        """Start a target of a software version and report it to a control daemon."""
         target = RecordingTarget(f"{pool}-{len(self.targets)}", pool, **options)
         await asyncio.to_thread(self._stack.enter_context, target)
+        target.runner.version = version
+        async with asyncio.timeout(_APPLY_SECONDS):
+            while not await self.report(target):
+                await asyncio.sleep(0.1)
         self.targets.append(target)
+        return target
+
+    async def report(self, target, sequence=1) -> bool:
+        """Report a target to a control daemon; return whether it was acknowledged."""
         body = {
-            "pool": pool,
+            "pool": target.pool,
             "address": target.runner.address,
             "data_centre": "here",
-            "version": "",
+            "version": target.runner.version,
             "slots": 64,
             "state": "ready",
-            "sequence": 1,
+            "sequence": sequence,
             "started": 1,
         }
         url = f"http://{self._http['a']}/v1/targets/{target.identity}"
-        async with asyncio.timeout(_APPLY_SECONDS):
-            while True:
-                async with self.session.put(url, json=body) as response:
-                    if response.status == 200:
-                        return target
-                await asyncio.sleep(0.1)
+        async with self.session.put(url, json=body) as response:
+            return response.status == 200
 
     def post(self, number, path, body, **headers):
         """Return the context manager of one request to a gateway; ids are made where missing."""
--- a/traystall/passthrough/context.py
+++ b/traystall/passthrough/context.py
@@ -38,6 +38,8 @@
 _MIN_CONNECTIONS = 4
 # A registry that has not replied for this time may know targets of versions that are unknown here.
 _REGISTRY_SILENCE_SECONDS = 2.0
+# All targets have reported again to a registry that restarted so long ago.
+_REGISTRY_RESTART_SECONDS = 4.0
 _MAX_ENGINE_SCALE = 3.0
 # Interval between checks for a configuration at the start.
 _CONFIGURATION_POLL_SECONDS = 0.02
@@ -179,6 +181,8 @@
         now = clock.monotonic()
         if now - self.registry.last_reply_at() > _REGISTRY_SILENCE_SECONDS:
             return None
+        if self.registry.all_restarted_since(now - _REGISTRY_RESTART_SECONDS):
+            return None
         return self.board.versions.only_version(pools, seconds, now)
 
     def excluded_targets(self, passed) -> set[str]:
--- a/traystall/passthrough/exchange/continuations.py
+++ b/traystall/passthrough/exchange/continuations.py
@@ -13,6 +13,8 @@
 # A caller continues a stream within its deadline, which is taken to be at most this multiple of the
 # route's timeout after the first event. Origins are kept for that time.
 _LIFETIME_TIMEOUT_FACTOR = 2.0
+# How long control daemons may take to confirm which targets there are. The caller waits meanwhile.
+_CONFIRM_TIMEOUT_SECONDS = 0.25
 # Longer or repeated ids of the first request are not looked up.
 _MAX_ID_LENGTH = 256
 # Refusal code for a stream whose version is unknown, and for one whose version has no target.
@@ -90,7 +92,9 @@
         if found.origin is None and digest:
             found = await self._context.streams.find(digest, pools, lifetime)
         origin = found.origin
-        only = self._agreed_version(pools, found.only_versions, lifetime)
+        only = None
+        if origin is None or not origin.version:
+            only = await self._confirmed_version(pools, found.only_versions, lifetime)
         decision(
             "continue",
             request=passed.request_id,
@@ -105,6 +109,18 @@
         # Targets that name no version may be of any, unless none ever named one.
         return origin.version or only
 
+    async def _confirmed_version(self, pools, only_versions, seconds) -> str | None:
+        """Return the agreed version once the control daemons have confirmed it.
+
+        Another gateway may have begun the stream at a target that is not known here yet. It has
+        learned of that target from a control daemon before this request came.
+        """
+        if self._agreed_version(pools, only_versions, seconds) is None:
+            return None
+        if not await self._context.registry.confirm(_CONFIRM_TIMEOUT_SECONDS):
+            return None
+        return self._agreed_version(pools, only_versions, seconds)
+
     def _agreed_version(self, pools, only_versions, seconds) -> str | None:
         """Return the only version that this gateway or a holder is certain of, if none differs."""
         own = self._context.only_version(pools, seconds)
--- a/traystall/registry/follower.py
+++ b/traystall/registry/follower.py
@@ -10,20 +10,36 @@
 import logging
 from collections.abc import Callable
 
+import msgspec
+
 from traystall.core import clock
 from traystall.core.exceptions import RpcError
 from traystall.quarantine.cache import SuspectCache
 from traystall.registry.records import to_report
+from traystall.registry.service import AGES_INTERVAL_SECONDS
 from traystall.rpc.client import LinkPool
 from traystall.rpc.gen.wire.ttypes import RegistryReply, RegistryRequest
 
 _WATCH_TIMEOUT_SECONDS = 2.0
 _RETRY_SECONDS = 0.25
 _UPDATE_INTERVAL_SECONDS = 0.5
+# A control daemon outside the group that has replied in this time may still have subscribers.
+_RECENT_SECONDS = 30.0
 
 logger = logging.getLogger(__name__)
 
 
+class _Position(msgspec.Struct, frozen=True):
+    """The epoch and version up to which a registry's updates are known here.
+
+    `restarted_at` is when this epoch was first known in place of an earlier one.
+    """
+
+    epoch: str = ""
+    version: int = 0
+    restarted_at: float = float("-inf")
+
+
 class RegistryFollower:
     """Keeps one watch open to each known control daemon.
 
@@ -49,6 +65,7 @@
         self.on_evacuation_update: Callable = lambda evacuated: None
         self.suspects: SuspectCache | None = None
         self._last_replies: dict[str, float] = {}
+        self._positions: dict[str, _Position] = {}
         # Whether the last reply of each registry contained suspects.
         self._supports_suspects: dict[str, bool] = {}
         self._supports_parts: dict[str, bool] = {}
@@ -72,6 +89,37 @@
         """Return the time of the last reply from any registry, in monotonic seconds."""
         return max(self._last_replies.values(), default=float("-inf"))
 
+    def all_restarted_since(self, moment: float) -> bool:
+        """Return whether every registry has restarted since `moment`, in monotonic seconds.
+
+        A registry that has restarted knows only the targets that have reported since.
+        """
+        return all(position.restarted_at > moment for position in self._positions.values())
+
+    async def confirm(self, seconds: float) -> bool:
+        """Fetch what the registries know now; return whether no target can be missing here.
+
+        That is so if each control daemon of the group replies within `seconds`, and each other one
+        that has replied lately. Watches can't show this: a reply may be older than what another
+        gateway has done since.
+        """
+        began = clock.monotonic()
+        addresses = list(self._addresses())
+        required = {a for a in addresses if began - self._last_replied_at(a) < _RECENT_SECONDS}
+        calls = {a: asyncio.create_task(self._fetch_current(a, seconds)) for a in addresses}
+        if not calls:
+            return False
+        _, pending = await asyncio.wait(calls.values(), timeout=seconds)
+        for call in pending:
+            call.cancel()
+        replied = {a: call.result() for a, call in calls.items() if call not in pending}
+        replied = {a: members for a, members in replied.items() if members is not None}
+        required = required.union(*replied.values())
+        missing = sorted(required - replied.keys())
+        logger.debug("registries confirmed", extra={"missing": missing})
+        # A daemon that is being let in again may know no members.
+        return all(replied.values()) and bool(replied) and not missing
+
     @property
     def newest_revision(self) -> int:
         """Return the highest revision in the last replies of all registries."""
@@ -128,6 +176,7 @@
                 reply.suspects.parts is not None
             )
             self._apply(reply)
+            self._record_position(address, reply)
             if reply.ages is not None:
                 last_ages_at = self._last_replies[address]
             known_revision = reply.number or 0
@@ -137,7 +186,49 @@
             request.epoch = reply.epoch
             request.version = reply.version
 
+    def _last_replied_at(self, address):
+        return self._last_replies.get(address, float("-inf"))
+
+    def _record_position(self, address, reply):
+        known = self._positions.get(address, _Position())
+        is_restart = known.epoch not in ("", reply.epoch)
+        restarted_at = clock.monotonic() if is_restart else known.restarted_at
+        self._positions[address] = _Position(reply.epoch, reply.version, restarted_at)
+
+    async def _fetch_current(self, address, seconds) -> set[str] | None:
+        """Merge all current targets of one registry; return its members, or None without a reply.
+
+        The registry replies at once if the ages that it sent last are old enough.
+        """
+        position = self._positions.get(address, _Position())
+        request = RegistryRequest(
+            sender=self._sender,
+            epoch=position.epoch,
+            version=position.version,
+            number=self.number(),
+            evacuation_version=self.evacuation_version(),
+            ages_told=AGES_INTERVAL_SECONDS,
+        )
+        while True:
+            try:
+                reply = await self._links.link(address).call(request, seconds)
+            except RpcError as error:
+                extra = {"peer": address, "why": str(error)}
+                logger.info("registry did not confirm its targets", extra=extra)
+                return None
+            self._merge_targets(reply)
+            if not reply.targets:
+                return {member.address for member in reply.members or []}
+            request.epoch, request.version = reply.epoch, reply.version
+
     def _apply(self, reply: RegistryReply):
+        self._merge_targets(reply)
+        self.on_members(reply.members or [])
+        self.on_evacuation_update(reply.evacuated)
+        if self.suspects is not None:
+            self.suspects.take(reply.suspects)
+
+    def _merge_targets(self, reply):
         now = clock.monotonic()
         for record in reply.targets or ():
             try:
@@ -150,7 +241,3 @@
             self.merge(report, now - (record.age or 0.0))
         for identity, age in (reply.ages or {}).items():
             self.record_seen(identity, now - age)
-        self.on_members(reply.members or [])
-        self.on_evacuation_update(reply.evacuated)
-        if self.suspects is not None:
-            self.suspects.take(reply.suspects)
