Responses without a body: no chunked framing behind a 204 or a response to HEAD on streamed routes

What callers saw: on a streamed route, a target's 204 came with `Transfer-Encoding: chunked` and `0\r\n\r\n` behind the head (RFC 9112, 6.1 forbids it), and HEAD likewise; with a kept connection these bytes stand where the next response begins (MIXED).

Cause: the framing of a streamed response depended on the version of HTTP alone.

--- a/traystall/http/request.py
+++ b/traystall/http/request.py
@@ -61,8 +61,9 @@
         self.is_complete = False
         # Whether further parts of the body are dropped.
         self.discards_body = False
-        # Whether a streamed response has started.
+        # Whether a streamed response has started, and whether it has a body.
         self.has_started_response = False
+        self._response_has_body = True
         self.has_ended = False
 
     @property
@@ -118,22 +119,28 @@
     def begin(self, status: int, headers: list[Header]) -> None:
         """Start a streamed response, whose length is not known yet."""
         self.has_started_response = True
+        self._response_has_body = self.method != "HEAD" and status not in messages.BODILESS
         framing = []
-        if self._chunks_allowed:
+        if self._chunks_allowed and status not in messages.BODILESS:
             framing = [(b"Transfer-Encoding", b"chunked")]
-        else:
+        elif self._response_has_body:
             self.keep_alive = False
         self.connection.write(messages.encode_head(status, headers, framing, not self.keep_alive))
 
     async def write(self, data: bytes) -> None:
-        """Send a part of the body; return once the write buffer has drained."""
+        """Send a part of the body; return once the write buffer has drained.
+
+        A response that has no body by definition is sent without it.
+        """
+        if not self._response_has_body:
+            return
         self.connection.write(messages.encode_chunk(data) if self._chunks_allowed else data)
         await self.connection.drained()
 
     def end(self) -> None:
         """End the body."""
         self.has_ended = True
-        if self._chunks_allowed:
+        if self._chunks_allowed and self._response_has_body:
             self.connection.write(messages.LAST_CHUNK)
 
     def abort(self) -> None:
