Control daemons of a gateway: an empty or outdated list of members does not displace the live ones

Cause: a daemon that is let in again lists no members; the gateway replaced its list by that and stopped watching the live daemons.

Change: addresses are dropped only when no daemon has listed them for 60 s; an empty list says nothing; new settings count at once.

--- a/traystall/passthrough/daemon.py
+++ b/traystall/passthrough/daemon.py
@@ -39,6 +39,7 @@
 from traystall.rpc.gen.wire import ttypes
 from traystall.rpc.leader import LeaderLink
 from traystall.rpc.server import RpcServer
+from traystall.tables.controls import ControlDirectory
 
 ROLE = "gateway"
 _DISPATCH_SECONDS = 0.25
@@ -79,7 +80,7 @@
         )
         # Control daemons to get the configuration from, updated from the group's membership.
         self.controls: list[str] = list(settings.control)
-        self._configured_controls: list[str] = list(settings.control)
+        self._control_directory = ControlDirectory(settings.data_centre, settings.control)
 
     async def start(self) -> None:
         """Start to listen, and follow the configuration in the background."""
@@ -190,7 +191,8 @@
 
     def set_controls(self, addresses: list[str]) -> None:
         """Set the configured addresses of control daemons after a reload."""
-        self._configured_controls = list(addresses)
+        self._control_directory.set_configured(addresses)
+        self._update_controls()
 
     def _follow(self):
         follower = ConfigurationFollower(self._links, self.controls, [], self._describe)
@@ -229,13 +231,13 @@
         task.add_done_callback(self._fetches.discard)
 
     def _take_members(self, members):
-        """Order the control daemons: local members, other members, then the configured ones."""
-        addresses = [member.address for member in members if member.address]
-        own = self.settings.data_centre
-        local = [m.address for m in members if m.address and m.data_centre == own]
-        preferred = list(dict.fromkeys([*local, *addresses])) or self._configured_controls
-        known = set(preferred) | set(self._configured_controls)
-        self.controls[:] = [*preferred, *sorted(known - set(preferred))]
+        listed = [(member.address, member.data_centre) for member in members if member.address]
+        self._control_directory.update(listed, clock.monotonic())
+        self._update_controls()
+
+    def _update_controls(self):
+        # The list is shared with the followers and the client of the leader.
+        self.controls[:] = self._control_directory.addresses()
 
     def _describe(self):
         settings = self.settings
