Stop of a gateway: responses that callers still read are in flight

Cause: in flight was what handlers had not returned; a large response is written after that.

Evidence: tests/passthrough/test_drain.py, a slow reader, got 3,963,711 of 4,194,314 bytes before; both new cases failed before. Change: the drain waits within its limit until no connection has a response pending or unsent.

--- a/tests/passthrough/test_drain.py
+++ b/tests/passthrough/test_drain.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import socket
 
 import aiohttp
@@ -12,6 +13,8 @@
 
 from tests.support.emulator.gateway import STAGES, EmulatedGateway, run, table
 from tests.support.emulator.runner import Runner
+from tests.support.site import HOST, KEY
+from traystall.passthrough.dialect import HeaderNames
 from traystall.passthrough.entry.drain import Drain, Phase
 
 # Requests arrive in each tenth of a shutdown; the first four tenths are the notice period.
@@ -165,3 +168,71 @@
         return status, body.count(b"id:")
 
     assert run(scenario()) == (200, 30)
+
+
+LARGE_BYTES = 4 * 1024 * 1024
+READ_BYTES = 64 * 1024
+
+
+async def _read_slowly(port, path, bytes_per_second, started):
+    """Return the body of a large response that is read at a low rate, and what cut it if any."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BYTES)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
+    reader, writer = await asyncio.open_connection(sock=sock, limit=READ_BYTES)
+    body = b"x" * LARGE_BYTES
+    lines = [
+        f"POST {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Authorization: Token {KEY}",
+        f"{HeaderNames().request_id}: slow",
+        f"Content-Length: {len(body)}",
+    ]
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+    head = await reader.readuntil(b"\r\n\r\n")
+    started.set()
+    received = 0
+    try:
+        while data := await reader.read(READ_BYTES):
+            received += len(data)
+            if received >= LARGE_BYTES + len(b"answer to "):
+                break
+            await asyncio.sleep(len(data) / bytes_per_second)
+    except ConnectionError:
+        pass
+    writer.close()
+    return head, received
+
+
+async def _drain_beside_a_slow_reader(bytes_per_second, limit, patience=8.0):
+    """Return how long a drain took, and what a slow reader received within its patience."""
+    target = await Runner("t-1").start()
+    async with EmulatedGateway(table(timeout=10.0), [("plain", target)]) as gateway:
+        started = asyncio.Event()
+        reading = asyncio.create_task(
+            _read_slowly(gateway.port, "/once/x", bytes_per_second, started)
+        )
+        await started.wait()
+        began = asyncio.get_running_loop().time()
+        await Drain(gateway.front, gateway.server).run(0.1, limit)
+        seconds = asyncio.get_running_loop().time() - began
+        await gateway.server.close(0.2)
+        received = 0
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(patience):
+                _, received = await reading
+    await target.stop()
+    return received, seconds
+
+
+def test_drain_waits_for_a_caller_that_still_reads_its_response():
+    """Guards against LOST: a stop cut whole responses that callers read, within its grace."""
+    received, seconds = run(_drain_beside_a_slow_reader(2_000_000, 8.0))
+    assert received == LARGE_BYTES + len(b"answer to ")
+    assert seconds < 4.0, "it ends as soon as the response has been read"
+
+
+def test_drain_ends_at_its_limit_beside_a_caller_that_hardly_reads():
+    _, seconds = run(_drain_beside_a_slow_reader(50_000, 1.0, 0.1))
+    assert 0.9 < seconds < 2.0
--- a/traystall/http/connection.py
+++ b/traystall/http/connection.py
@@ -91,6 +91,11 @@
         """Return whether no request is being received and no response is pending."""
         return self._answering is None and self._reading is None and self._head is None
 
+    @property
+    def is_responding(self) -> bool:
+        """Return whether a response is pending, or not completely handed to the kernel."""
+        return self._answering is not None or self._transport.get_write_buffer_size() > 0
+
     @property
     def moved_at(self) -> float:
         """Return when something was received last."""
--- a/traystall/http/server.py
+++ b/traystall/http/server.py
@@ -108,6 +108,17 @@
                 return
             await asyncio.sleep(_CLOSE_POLL_SECONDS)
 
+    async def until_responses_are_sent(self, seconds: float) -> None:
+        """Return once clients have read all responses up to what the kernel holds.
+
+        Return after `seconds` at the latest.
+        """
+        deadline = clock.monotonic() + seconds
+        while clock.monotonic() < deadline:
+            if not any(connection.is_responding for connection in self._connections):
+                return
+            await asyncio.sleep(_CLOSE_POLL_SECONDS)
+
     async def close(self, seconds: float) -> None:
         """Stop the server; connections still open after `seconds` are aborted."""
         await self.stop_listening()
--- a/traystall/passthrough/entry/drain.py
+++ b/traystall/passthrough/entry/drain.py
@@ -8,13 +8,14 @@
    same moment is refused as not run. A connection that has just been opened is given the time to
    send its request, so that it is refused and not reset.
 3. After a time limit, every request without a response gets a refusal. Only streams that have
-   already started are cut off.
+   already started and responses that callers still read are cut off.
 """
 
 import asyncio
 from collections.abc import Awaitable, Callable
 from enum import StrEnum
 
+from traystall.core import clock
 from traystall.http.server import HttpServer
 
 # Time for the last responses to leave the process: some round trips of the slowest supported link.
@@ -45,7 +46,10 @@
         self._sleep = sleep
 
     async def run(self, notice: float, limit: float) -> None:
-        """Keep serving for `notice` seconds, then finish requests in flight within `limit`."""
+        """Keep serving for `notice` seconds, then finish requests in flight within `limit`.
+
+        A request is in flight until its caller has read the response.
+        """
         self._front.phase = Phase.NOTICE
         await self._sleep(notice)
         await self._server.stop_listening()
@@ -53,6 +57,8 @@
         # Busy connections close after their response.
         self._server.close_idle(spares_new=True)
         await self._server.until_none_is_new(_FIRST_REQUEST_SECONDS)
+        deadline = clock.monotonic() + limit
         await self._front.drain(limit)
         if self._front.end_unanswered():
             await self._sleep(_FLUSH_SECONDS)
+        await self._server.until_responses_are_sent(deadline - clock.monotonic())
