Killed targets: a notice before does not excuse an end inside a response

Cause: the check whether the target still runs was left out for all targets that are not ready. A draining target announces its end as well before it ends; only then may a close be the end of its last response.

Evidence: test_closes_of_targets.py, a draining target that is killed, with and without the leaving header: 200 instead of 502 before, both cases; the responses of targets that announced their end, also just after the close, are whole before and after.

--- a/tests/passthrough/test_closes_of_targets.py
+++ b/tests/passthrough/test_closes_of_targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from tests.passthrough.test_tunnels import CUT, start_with_tunnels
@@ -15,6 +16,7 @@
 from traystall.passthrough.exchange import closing
 from traystall.passthrough.exchange.connection import connect
 from traystall.passthrough.tunnels import dialer
+from traystall.registry.models import RegisteredState
 
 # In the middle of a slow response.
 END_AFTER_SECONDS = 0.3
@@ -71,6 +73,56 @@
     assert run(scenario()) == 502
 
 
+def report_state(gateway, runner, state, sequence=1):
+    report = gateway.context.board.view(runner.identity).report
+    report = msgspec.structs.replace(report, state=state, sequence=sequence)
+    gateway.context.board.merge(report, clock.monotonic())
+
+
+@pytest.mark.parametrize("says_so", [False, True])
+def test_response_whose_draining_target_is_killed_inside_it_is_not_whole(says_so):
+    """Guards against MIXED: a notice before excused the end of a target in the middle of a body."""
+
+    async def scenario():
+        runner = await Runner("r").start()
+        runner.leaves = says_so
+        async with EmulatedGateway(table(), [("plain", runner)]) as gateway:
+
+            def drain_and_end():
+                report_state(gateway, runner, RegisteredState.DRAINING)
+                runner.end()
+
+            return (await call_slow(gateway, runner, drain_and_end))[0]
+
+    assert run(scenario()) == 502
+
+
+@pytest.mark.parametrize("is_late", [False, True])
+def test_last_response_of_a_target_that_announced_its_end_is_whole(is_late):
+    """The announcement may reach the gateway just after the target's last response."""
+
+    async def scenario():
+        runner = await Runner("r").start()
+        async with EmulatedGateway(table(), [("plain", runner)]) as gateway:
+
+            async def end_in_order():
+                while runner._writers and is_late:
+                    await asyncio.sleep(0.001)
+                report_state(gateway, runner, RegisteredState.GONE, 2)
+
+            def drain():
+                report_state(gateway, runner, RegisteredState.DRAINING)
+                runner._server.close()
+                ending.append(asyncio.create_task(end_in_order()))
+
+            ending = []
+            status, _, body = await call_slow(gateway, runner, drain)
+        await runner.stop()
+        return status, body
+
+    assert run(scenario()) == (200, b"answer to hello")
+
+
 def test_response_of_a_target_that_accepts_no_connection_in_time_is_whole(monkeypatch):
     """A full or silent target accepts nothing; that does not show that it has ended."""
 
--- a/traystall/passthrough/exchange/closing.py
+++ b/traystall/passthrough/exchange/closing.py
@@ -6,6 +6,7 @@
 from traystall.core.peer_timeout import PeerTimeout
 from traystall.passthrough.exceptions import ConnectFailed, ConnectionBroken
 from traystall.passthrough.health.board import TargetBoard, TargetView
+from traystall.registry.models import RegisteredState
 
 # A target that has accepted no connection after this time, also through other gateways, may be full
 # or silent, and counts as running. Direct connections and tunnels have shorter timeouts.
@@ -21,18 +22,31 @@
 ) -> None:
     """Raise ConnectionBroken if a response was ended by the end of its target.
 
-    A target that is leaving may end right after its last response, so its closes count as ends. A
-    response is not lost because the check would take longer than `remaining_seconds`.
+    A target that has announced its end may end right after its last response, so its closes count
+    as ends. A response is not lost because the check would take longer than `remaining_seconds`.
     """
-    if not view.is_ready:
+    if _may_end(view):
         return
     evidence = board.end_evidence(view)
     if not evidence and remaining_seconds > 0:
         evidence = await _find_refusal(view, min(_PROBE_SECONDS, remaining_seconds))
-    if evidence:
+    # The announcement may have come meanwhile.
+    if evidence and not _may_end(view):
         raise ConnectionBroken(f"The target has ended: {evidence}.", sent=True)
 
 
+def _may_end(view: TargetView) -> bool:
+    """Return whether a target may end in order now.
+
+    One that reports `draining` announces its end as well before it ends. Of one that says only in
+    its responses that it leaves nothing more is known.
+    """
+    state = view.report.state
+    if state is RegisteredState.READY:
+        return view.availability.leaves
+    return state is RegisteredState.GONE
+
+
 async def _find_refusal(view: TargetView, seconds: float) -> str:
     """Open connections to a target; return why it must have ended, or an empty string."""
     try:
