--- a/tests/control/test_kept_departures.py
+++ b/tests/control/test_kept_departures.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import contextlib
+import time
 
 import aiohttp
 import pytest
 
 from tests.support.control_group import ControlGroup
+from traystall.core.exceptions import DiskFailed
 from traystall.rpc.gen.wire.ttypes import ReportRunsRequest
 
 FLAGS = {"snapshot-every": "16"}
+_FROZEN_SECONDS = 1.5
 
 
 class Group(ControlGroup):
@@ -154,6 +157,38 @@
     run_scenario(tmp_path, scenario)
 
 
+def break_disk(daemon, how):
+    """Make every write of a daemon fail, or take longer than a target waits."""
+
+    def write(*_):
+        if how == "full":
+            raise DiskFailed("The disk is full.")
+        time.sleep(_FROZEN_SECONDS)
+        raise DiskFailed("The disk hung.")
+
+    folder = daemon.node._folder
+    folder.write = folder.retry = write
+
+
+@pytest.mark.parametrize("how", ["full", "frozen"])
+@pytest.mark.parametrize("whose", ["leader", "follower", "receiver"])
+def test_end_is_acknowledged_while_one_disk_fails(tmp_path, whose, how):
+    """One disk that fails leaves a majority; an end is then kept by the others in time."""
+
+    async def scenario(group):
+        await group.until(lambda: group.leader() is not None)
+        leader = next(name for name in "abc" if group.daemons[name] is group.leader())
+        first, second = (name for name in "abc" if name != leader)
+        broken = leader if whose == "leader" else first
+        break_disk(group.daemons[broken], how)
+        assert await group.report(broken, "t") == 200
+        began = asyncio.get_running_loop().time()
+        assert await group.leave(broken if whose == "receiver" else second, "t") == 200
+        assert asyncio.get_running_loop().time() - began < 1.0, "a target waits for one second"
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_only_changes_of_state_are_committed(tmp_path):
     """Guards against a sync for each heartbeat of some hundred leaving targets."""
 
--- a/tests/passthrough/test_streams_of_a_gateway_out_of_step.py
+++ b/tests/passthrough/test_streams_of_a_gateway_out_of_step.py
@@ -74,15 +74,15 @@
             await site.report(runner, "engine", sequence=sequence)
 
 
-def cut(site, how, out=OUT):
-    """Cut one gateway off from the control daemons and the gateways, in both directions."""
+def cut(site, how, out=(OUT,)):
+    """Cut gateways off from the control daemons and the other gateways, in both directions."""
     links = [gateway.settings.rpc_listen for gateway in site.gateways]
     controls = list(site.group.addresses.values())
-    others = [link for number, link in enumerate(links) if number != out]
-    site.partition.cut(f"gateway-{out}", controls + others, how)
+    others = [link for number, link in enumerate(links) if number not in out]
+    lost = [links[number] for number in out]
     for number in range(GATEWAYS):
-        if number != out:
-            site.partition.cut(f"gateway-{number}", [links[out]], how)
+        unreachable = controls + others if number in out else lost
+        site.partition.cut(f"gateway-{number}", unreachable, how)
 
 
 def heal(site):
@@ -90,13 +90,13 @@
         site.partition.heal(f"gateway-{number}")
 
 
-async def begin_until_both(site, version, count=STREAMS):
-    """Return `count` streams that targets of one version began at the gateways in touch."""
+async def begin_at(site, version, gateways=2, count=STREAMS):
+    """Return streams that targets of one version began at the first gateways, in touch."""
     found = []
     async with asyncio.timeout(5):
         while len(found) < count:
             streams = [CallerStream() for _ in range(16)]
-            await read_streams(site, streams, lambda index: index % 2, leave_after=6)
+            await read_streams(site, streams, lambda index: index % gateways, leave_after=6)
             found += [stream for stream in streams if stream.versions == {version}]
     return found[:count]
 
@@ -115,7 +115,7 @@
         began = asyncio.get_running_loop().time()
         cut(site, how)
         await add_engines(site, NEW)
-        streams = await begin_until_both(site, NEW)
+        streams = await begin_at(site, NEW)
         await sleep_until(began + seconds)
         await read_streams(site, streams, lambda index: OUT)
         reports.cancel()
@@ -125,6 +125,25 @@
     play(tmp_path, scenario, GATEWAYS)
 
 
+@pytest.mark.parametrize("how", ["hang", "reset"])
+def test_gateways_that_are_out_of_step_together_do_not_vouch_for_each_other(tmp_path, how):
+    """Guards against ORDER in a data centre that is cut off as a whole."""
+
+    async def scenario(site):
+        reports = await start_certain(site)
+        began = asyncio.get_running_loop().time()
+        cut(site, how, out=(1, OUT))
+        await add_engines(site, NEW)
+        streams = await begin_at(site, NEW, gateways=1)
+        await sleep_until(began + 0.8)
+        await read_streams(site, streams, lambda index: OUT)
+        reports.cancel()
+        assert_each_at_one_version(streams)
+        assert {stream.status for stream in streams} == {503}
+
+    play(tmp_path, scenario, GATEWAYS)
+
+
 @pytest.mark.parametrize("how", ["hang", "reset"])
 @pytest.mark.parametrize("pause", [0.0, 0.05, 0.5, 3.0])
 def test_gateway_that_was_out_of_step_mixes_nothing_once_it_is_back(tmp_path, how, pause):
@@ -135,7 +154,7 @@
         began = asyncio.get_running_loop().time()
         cut(site, how)
         await add_engines(site, NEW)
-        streams = await begin_until_both(site, NEW)
+        streams = await begin_at(site, NEW)
         await sleep_until(began + 1.5 - min(pause, 0.5))
         heal(site)
         await asyncio.sleep(pause)
@@ -176,7 +195,7 @@
         reports.cancel()
         for runner in old:
             await site.report(runner, "engine", state="gone", sequence=1000)
-        streams = await begin_until_both(site, NEW)
+        streams = await begin_at(site, NEW)
         began_there = [CallerStream() for _ in range(STREAMS)]
         await read_streams(site, began_there, lambda index: OUT, leave_after=6)
         await read_streams(site, streams, lambda index: OUT)
