Killed targets: an announced end may be on its way when a draining target no longer listens

Cause: a refused connection is evidence at once, while the announcement of the end comes through a control daemon. In a whole run of the tests at load 13 the last response of a target that had ended in order became 502: test_last_response_of_a_target_that_announced_its_end_is_whole[True], once in two whole runs. The test now lets the announcement come 0.1 s after the response, which is stricter.

Change: on evidence, the gateway waits 0.25 s for the announcement of a draining target.

--- a/tests/passthrough/test_closes_of_targets.py
+++ b/tests/passthrough/test_closes_of_targets.py
@@ -20,6 +20,8 @@
 
 # In the middle of a slow response.
 END_AFTER_SECONDS = 0.3
+# How much later than its last response the end of a target becomes known.
+ANNOUNCED_AFTER_SECONDS = 0.1
 
 
 class Resetting:
@@ -108,6 +110,7 @@
             async def end_in_order():
                 while runner._writers and is_late:
                     await asyncio.sleep(0.001)
+                await asyncio.sleep(ANNOUNCED_AFTER_SECONDS if is_late else 0.0)
                 report_state(gateway, runner, RegisteredState.GONE, 2)
 
             def drain():
--- a/traystall/passthrough/exchange/closing.py
+++ b/traystall/passthrough/exchange/closing.py
@@ -3,6 +3,8 @@
 A kernel closes the connections of a killed process in order, so the close alone does not tell.
 """
 
+import asyncio
+
 from traystall.core.peer_timeout import PeerTimeout
 from traystall.passthrough.exceptions import ConnectFailed, ConnectionBroken
 from traystall.passthrough.health.board import TargetBoard, TargetView
@@ -14,6 +16,8 @@
 # A process that ends may close its connections this long before its listening socket, which resets
 # the connections that it has not accepted.
 _SETTLE_SECONDS = 0.05
+# An announced end is known at all gateways after this time, also of another region.
+_ANNOUNCEMENT_SECONDS = 0.25
 _NOT_LISTENING = "nothing listens at its address"
 
 
@@ -30,7 +34,9 @@
     evidence = board.end_evidence(view)
     if not evidence and remaining_seconds > 0:
         evidence = await _find_refusal(view, min(_PROBE_SECONDS, remaining_seconds))
-    # The announcement may have come meanwhile.
+    if evidence and view.report.state is RegisteredState.DRAINING:
+        # Its end may have been announced, and the announcement be on its way.
+        await asyncio.sleep(max(0.0, min(_ANNOUNCEMENT_SECONDS, remaining_seconds)))
     if evidence and not _may_end(view):
         raise ConnectionBroken(f"The target has ended: {evidence}.", sent=True)
 
